Lay out the workspace, the design and the shared types

Cause: the repository is empty and the packages need common types and interfaces before they can be built side by side.

Ruled out: validating JSON field by field by hand; a derived schema and jsonschema report every mistake of shape with its path.

--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/model/src/catalogue/changes.rs
@@ -0,0 +1,20 @@
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::note::ServiceSpec;
+
+/// What changed in a catalogue between two revisions.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct CatalogueChanges {
+    /// Revision that the receiver must have reached for the changes to fit.
+    pub from_revision: u64,
+    /// Revision after the changes.
+    pub to_revision: u64,
+    /// Services added or changed.
+    pub services: Vec<ServiceSpec>,
+    /// Names of services withdrawn.
+    pub withdrawn: Vec<String>,
+    /// The order of importance, if it changed.
+    pub importance: Option<Vec<String>>,
+}
--- /dev/null
+++ b/crates/model/src/member/backend_state.rs
@@ -0,0 +1,19 @@
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// State of a backend server as its own node sees it.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, JsonSchema,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum BackendState {
+    /// No backend server is announced.
+    Absent,
+    /// Announced, still in its cold start.
+    Starting,
+    /// Takes new work.
+    Ready,
+    /// Takes no new work; work in progress goes on.
+    Draining,
+}
--- /dev/null
+++ b/crates/model/src/member/member_record.rs
@@ -0,0 +1,35 @@
+use std::net::SocketAddr;
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::identity::InstanceId;
+use crate::member::BackendState;
+
+/// What the members know of one node, see `docs/design.md`, section 5.3.
+///
+/// A record with a higher `version` replaces one with a lower version of the same instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct MemberRecord {
+    /// Configured name of the node.
+    pub node: String,
+    /// The node's present life.
+    pub instance: InstanceId,
+    /// Data centre of the node.
+    pub data_centre: String,
+    /// Region of the data centre.
+    pub region: String,
+    /// UDP address for membership.
+    pub gossip_address: SocketAddr,
+    /// TCP address for calls between nodes.
+    pub peer_address: SocketAddr,
+    /// Service of the node's backend server, empty if there is none.
+    pub service: String,
+    /// State of the node's backend server.
+    pub state: BackendState,
+    /// Number of the state change within this instance.
+    pub version: u32,
+    /// Catalogue revision that the node has reached.
+    pub revision: u64,
+}
--- /dev/null
+++ b/crates/model/src/note/mod.rs
@@ -0,0 +1,11 @@
+//! Release notes: what operators add, change and withdraw.
+
+mod check;
+mod release_note;
+mod service_spec;
+
+pub use check::check_graph;
+pub use check::MAX_CALL_DEPTH;
+pub use release_note::ReleaseNote;
+pub use service_spec::OperationSpec;
+pub use service_spec::ServiceSpec;
--- /dev/null
+++ b/crates/model/tests/catalogue.rs
@@ -0,0 +1,137 @@
+//! Guards the release note rules: races, repeats, wrong notes, and copies that go back.
+
+use tarragon_model::catalogue::Catalogue;
+use tarragon_model::catalogue::SubmitAnswer;
+use tarragon_model::note::OperationSpec;
+use tarragon_model::note::ReleaseNote;
+use tarragon_model::note::ServiceSpec;
+use tarragon_testkit::check;
+
+fn service(name: &str, calls: &[&str]) -> ServiceSpec {
+    let operation = OperationSpec {
+        name: "view".into(),
+        method: "GET".into(),
+        path_prefix: "/".into(),
+        kind: "dashboard-view".into(),
+        idempotent: true,
+        expected_ms: 5,
+    };
+    ServiceSpec {
+        name: name.into(),
+        calls: calls.iter().map(|c| (*c).to_string()).collect(),
+        operations: vec![operation],
+        default_deadline_ms: 1000,
+    }
+}
+
+fn note(id: &str, version: u64, add: Vec<ServiceSpec>) -> ReleaseNote {
+    let importance = (version == 1).then(|| vec!["weigh-in".into(), "dashboard-view".into()]);
+    ReleaseNote { id: id.into(), version, add, change: vec![], withdraw: vec![], importance }
+}
+
+fn mistakes(answer: SubmitAnswer) -> String {
+    match answer {
+        SubmitAnswer::Invalid { mistakes } => {
+            mistakes.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
+        }
+        other => panic!("the note was not refused as invalid: {other:?}"),
+    }
+}
+
+#[test]
+fn of_two_notes_with_one_version_the_first_wins_and_the_other_learns_its_id() {
+    let mut catalogue = Catalogue::default();
+    let first = note("first", 1, vec![service("counter", &[])]);
+    assert_eq!(catalogue.submit(&first), SubmitAnswer::Accepted { revision: 1 });
+    let other = note("other", 1, vec![service("planner", &[])]);
+    let conflict = SubmitAnswer::Conflict { next_version: 2, winner_id: Some("first".into()) };
+    assert_eq!(catalogue.submit(&other), conflict);
+}
+
+#[test]
+fn a_note_sent_again_gets_its_first_answer_and_changes_nothing() {
+    let mut catalogue = Catalogue::default();
+    let first = note("first", 1, vec![service("counter", &[])]);
+    catalogue.submit(&first);
+    let mut withdraw = note("second", 2, vec![]);
+    withdraw.withdraw.push("counter".into());
+    catalogue.submit(&withdraw);
+    let before = catalogue.clone();
+    assert_eq!(catalogue.submit(&first), SubmitAnswer::Accepted { revision: 1 });
+    assert_eq!(catalogue, before);
+}
+
+#[test]
+fn a_wrong_note_is_refused_with_every_mistake() {
+    let mut catalogue = Catalogue::default();
+    let mut wrong = note("n", 1, vec![service("a", &["b"]), service("b", &["a", "ghost"])]);
+    wrong.add[0].operations[0].kind = "nonsense".into();
+    wrong.withdraw.push("absent".into());
+    let text = mistakes(catalogue.submit(&wrong));
+    for part in ["cycle in the call graph", "unknown service 'ghost'", "'nonsense'", "'absent'"] {
+        assert!(text.contains(part), "{part} is not in: {text}");
+    }
+    assert_eq!(catalogue, Catalogue::default());
+}
+
+#[test]
+fn a_chain_of_21_services_is_allowed_and_one_of_22_is_not() {
+    let chain = |length: usize| {
+        let link = move |at: usize| {
+            let next = format!("s{}", at + 1);
+            let calls = if at + 1 < length { vec![next.as_str()] } else { vec![] };
+            service(&format!("s{at}"), &calls)
+        };
+        (0..length).map(link)
+    };
+    let mut catalogue = Catalogue::default();
+    let long = mistakes(catalogue.submit(&note("n", 1, chain(22).collect())));
+    assert!(long.contains("chain of 22 services"), "{long}");
+    let accepted = catalogue.submit(&note("n", 1, chain(21).collect()));
+    assert_eq!(accepted, SubmitAnswer::Accepted { revision: 1 });
+}
+
+#[test]
+fn json_mistakes_carry_their_paths() {
+    let text = r#"{"id": 3, "version": 1, "add": [{"name": "a", "operations": [], "extra": 1}]}"#;
+    let mistakes = ReleaseNote::from_json(text).unwrap_err();
+    let text = tarragon_model::check::format_mistakes(&mistakes);
+    assert!(text.contains("$.id: "), "{text}");
+    assert!(text.contains("$.add[0]: "), "{text}");
+    assert!(text.contains("extra"), "{text}");
+    assert!(text.contains("default_deadline_ms"), "{text}");
+}
+
+/// A copy that follows by deltas, some lost, some repeated, equals the original whenever it has
+/// reached the same revision, and its revision never goes down.
+#[test]
+fn copies_follow_by_deltas_and_never_go_back() {
+    fn property(steps: Vec<(u8, u8, bool)>) -> bool {
+        let mut original = Catalogue::default();
+        let mut copy = Catalogue::default();
+        let mut sent = Vec::new();
+        for (kind, which, is_delivered) in steps {
+            let name = format!("s{}", which % 8);
+            let version = original.revision() + 1;
+            let mut next = note(&format!("n{version}"), version, vec![]);
+            match kind % 3 {
+                0 => next.add.push(service(&name, &[])),
+                1 => next.change.push(service(&name, &[])),
+                _ => next.withdraw.push(name),
+            }
+            original.submit(&next);
+            sent.push(original.changes_since(copy.revision()));
+            let before = copy.revision();
+            let at = if is_delivered { sent.len() - 1 } else { which as usize % sent.len() };
+            copy.apply_changes(&sent[at]);
+            let is_equal = copy.services() == original.services()
+                && copy.importance() == original.importance();
+            let is_current = copy.revision() == original.revision();
+            if copy.revision() < before || (is_current && !is_equal) {
+                return false;
+            }
+        }
+        true
+    }
+    check(11, 300, property as fn(Vec<(u8, u8, bool)>) -> bool);
+}
--- /dev/null
+++ b/crates/policy/src/routing/policy.rs
@@ -0,0 +1,111 @@
+use tarragon_model::call::Reason;
+use tarragon_model::identity::InstanceId;
+use tarragon_model::identity::RequestId;
+use tarragon_model::member::BackendState;
+
+use crate::admission::AdmissionAdvice;
+
+/// How far a backend server is from the choosing node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Distance {
+    /// In the same data centre.
+    Local,
+    /// In another data centre of the same region.
+    Region,
+    /// In another region.
+    Remote,
+}
+
+/// A backend server that may be chosen, known by the instance of its node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// Instance of the node in front of the backend server.
+    pub instance: InstanceId,
+    /// Distance from the choosing node.
+    pub distance: Distance,
+    /// State that the server's node last told.
+    pub state: BackendState,
+}
+
+/// What the choosing node knows of its connection to a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum PeerState {
+    /// It answered within the last heartbeat interval.
+    Proven,
+    /// No traffic or no connection yet.
+    Unproven,
+    /// Traffic has stayed unanswered for the heartbeat timeout, or the connection failed.
+    Suspect,
+}
+
+/// A call that needs a backend server.
+#[derive(Debug, Clone, Copy)]
+pub struct RouteQuery<'a> {
+    /// Service to call.
+    pub service: &'a str,
+    /// The request, for the shed hash.
+    pub request_id: RequestId,
+    /// Importance rank.
+    pub rank: u8,
+    /// Instances already tried for this request.
+    pub excluded: &'a [InstanceId],
+    /// Whether the request may not be repeated and so needs a proven connection if there is one.
+    pub needs_proven: bool,
+}
+
+/// Where a call goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteDecision {
+    /// To the gate of this instance.
+    Use(InstanceId),
+    /// Nowhere; the request did not run.
+    Refuse {
+        /// `NoServer` or `Shed`.
+        reason: Reason,
+        /// When another try may succeed, in ms.
+        retry_after_ms: u64,
+    },
+}
+
+/// How a call to a gate ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallEnd {
+    /// A whole answer came back.
+    Answered,
+    /// The gate refused the request.
+    NotRun,
+    /// The connection failed, or the answer was malformed or came too late.
+    Failed,
+    /// The caller gave up; tells nothing about the server.
+    Cancelled,
+}
+
+/// Measured result of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallResult {
+    /// Time to the first byte of the answer, in µs.
+    pub latency_us: u64,
+    /// How it ended.
+    pub end: CallEnd,
+}
+
+/// Chooses backend servers for one node, see `docs/design.md`, section 3.5.
+pub trait RoutePolicy: Send {
+    /// Replaces the candidates of a service.
+    fn set_candidates(&mut self, service: &str, candidates: &[Candidate], now_us: u64);
+
+    /// Chooses a backend server.
+    fn choose(&mut self, query: &RouteQuery<'_>, now_us: u64) -> RouteDecision;
+
+    /// Records that a call was sent.
+    fn started(&mut self, service: &str, target: InstanceId, now_us: u64);
+
+    /// Records the end of a call.
+    fn finished(&mut self, service: &str, target: InstanceId, result: &CallResult, now_us: u64);
+
+    /// Records what a gate admits.
+    fn advise(&mut self, service: &str, target: InstanceId, advice: &AdmissionAdvice, now_us: u64);
+
+    /// Records the state of the connection to a peer.
+    fn set_peer_state(&mut self, target: InstanceId, state: PeerState, now_us: u64);
+}
--- /dev/null
+++ b/crates/tarragonctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,18 @@
+//! Authenticated messages between nodes.
+//!
+//! A message is a version byte, a channel byte, a postcard payload and a keyed BLAKE3 tag. Datagrams
+//! carry one message; streams carry length-delimited messages. See `docs/design.md`, section 5.3.
+
+mod deployment_key;
+mod message;
+mod wire_error;
+
+pub use deployment_key::DeploymentKey;
+pub use deployment_key::KeyError;
+pub use message::frame_codec;
+pub use message::open;
+pub use message::seal;
+pub use message::Channel;
+pub use message::MAX_DATAGRAM_BYTES;
+pub use message::MAX_FRAME_BYTES;
+pub use wire_error::WireError;
