Define the daemon's internal interfaces

Cause: the data path and the control side are built side by side.

Ruled out: concrete channel types in the data path; tests would then need the whole control side.

--- /dev/null
+++ b/crates/tarragond/src/backend/backend_status.rs
@@ -0,0 +1,30 @@
+use std::net::SocketAddr;
+
+use tarragon_model::member::BackendState;
+use tokio::sync::watch;
+
+/// What the node knows of its own backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendStatus {
+    /// Service that it belongs to, empty if none is announced.
+    pub service: String,
+    /// Where it takes requests.
+    pub address: Option<SocketAddr>,
+    /// Requests that it says it can run at once; a hint.
+    pub slots: u32,
+    /// Its state; the gate takes new work only in `Ready` and `Starting`.
+    pub state: BackendState,
+}
+
+impl BackendStatus {
+    /// Status before the first announcement.
+    pub fn absent() -> Self {
+        Self { service: String::new(), address: None, slots: 0, state: BackendState::Absent }
+    }
+}
+
+/// Read access to the state of the node's own backend server.
+pub trait OwnBackend: Send + Sync {
+    /// Channel with the present status.
+    fn status(&self) -> watch::Receiver<BackendStatus>;
+}
--- /dev/null
+++ b/crates/tarragond/src/directory/directory_watch.rs
@@ -0,0 +1,43 @@
+use std::sync::Arc;
+
+use tarragon_model::catalogue::Catalogue;
+use tarragon_model::member::MemberRecord;
+use tokio::sync::watch;
+
+/// Read access to the node's view of the deployment.
+///
+/// The data path depends on this interface and not on how the view is kept current.
+pub trait Directory: Send + Sync {
+    /// The catalogue in force at this node.
+    fn catalogue(&self) -> watch::Receiver<Arc<Catalogue>>;
+
+    /// All known members, this node included.
+    fn members(&self) -> watch::Receiver<Arc<Vec<MemberRecord>>>;
+}
+
+/// A directory backed by two watch channels.
+#[derive(Debug, Clone)]
+pub struct DirectoryWatch {
+    catalogue: watch::Receiver<Arc<Catalogue>>,
+    members: watch::Receiver<Arc<Vec<MemberRecord>>>,
+}
+
+impl DirectoryWatch {
+    /// Creates a directory from the channels of the catalogue and membership services.
+    pub fn new(
+        catalogue: watch::Receiver<Arc<Catalogue>>,
+        members: watch::Receiver<Arc<Vec<MemberRecord>>>,
+    ) -> Self {
+        Self { catalogue, members }
+    }
+}
+
+impl Directory for DirectoryWatch {
+    fn catalogue(&self) -> watch::Receiver<Arc<Catalogue>> {
+        self.catalogue.clone()
+    }
+
+    fn members(&self) -> watch::Receiver<Arc<Vec<MemberRecord>>> {
+        self.members.clone()
+    }
+}
--- /dev/null
+++ b/crates/tarragond/src/directory/mod.rs
@@ -0,0 +1,6 @@
+//! What this node knows of the deployment: the catalogue in force and the members.
+
+mod directory_watch;
+
+pub use directory_watch::Directory;
+pub use directory_watch::DirectoryWatch;
