--- a/crates/model/src/api/mod.rs
+++ b/crates/model/src/api/mod.rs
@@ -1,1 +1,15 @@
 //! Types of the control API, shared by the daemon and the operators' client.
+
+mod announcement;
+mod drain;
+mod status;
+
+pub use announcement::Announcement;
+pub use drain::DrainAnswer;
+pub use drain::DrainRequest;
+pub use status::BackendReport;
+pub use status::DataCentreRevision;
+pub use status::NodeStatus;
+pub use status::NoteEntry;
+pub use status::NoteList;
+pub use status::NoteStatus;
--- a/crates/model/src/member/member_record.rs
+++ b/crates/model/src/member/member_record.rs
@@ -24,6 +24,8 @@
     pub gossip_address: SocketAddr,
     /// TCP address for calls between nodes.
     pub peer_address: SocketAddr,
+    /// TCP address of the control API.
+    pub control_address: SocketAddr,
     /// Service of the node's backend server, empty if there is none.
     pub service: String,
     /// State of the node's backend server.
--- /dev/null
+++ b/crates/tarragonctl/src/cli/args.rs
@@ -0,0 +1,74 @@
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::Parser;
+use clap::Subcommand;
+
+/// Operators' client of tarragonloom, an overload control layer for service call graphs.
+#[derive(Debug, Parser)]
+#[command(name = "tarragonctl", version)]
+pub struct Args {
+    /// Control address of a node; may be repeated, the next one is tried if one does not answer.
+    #[arg(
+        long = "node",
+        short = 'n',
+        env = "TARRAGON_NODES",
+        value_delimiter = ',',
+        required = true
+    )]
+    pub nodes: Vec<SocketAddr>,
+    /// File with the operator key.
+    #[arg(long, short = 'k', env = "TARRAGON_KEY_FILE")]
+    pub key_file: PathBuf,
+    /// Time to wait for an answer of one node, in ms.
+    #[arg(long, default_value_t = 15_000)]
+    pub timeout_ms: u64,
+    /// Print the answer as JSON.
+    #[arg(long)]
+    pub json: bool,
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// Commands of the client.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Submit release notes and see where they are in force.
+    Note {
+        /// What to do.
+        #[command(subcommand)]
+        command: NoteCommand,
+    },
+    /// List the services in force.
+    Services,
+    /// List the backend servers and their states.
+    Servers,
+    /// Show the state of a node, its gate and its backend server.
+    Status,
+    /// Drain the backend server of the node given with --node.
+    Drain {
+        /// Drain even if fewer than half of the service's servers would stay ready.
+        #[arg(long)]
+        force: bool,
+    },
+    /// End the drain of the backend server of the node given with --node.
+    Undrain,
+}
+
+/// Commands about release notes.
+#[derive(Debug, Subcommand)]
+pub enum NoteCommand {
+    /// Submit a release note.
+    Submit {
+        /// File with the note in JSON.
+        file: PathBuf,
+    },
+    /// Tell whether a note was accepted and where it is in force.
+    Status {
+        /// Id of the note.
+        id: String,
+    },
+    /// List the accepted notes.
+    List,
+}
--- /dev/null
+++ b/crates/tarragonctl/src/cli/mod.rs
@@ -0,0 +1,7 @@
+//! Command line of the operators' client.
+
+mod args;
+
+pub use args::Args;
+pub use args::Command;
+pub use args::NoteCommand;
--- /dev/null
+++ b/crates/tarragonctl/src/command/mod.rs
@@ -0,0 +1,8 @@
+//! Commands of the client and their results.
+
+mod command_result;
+mod print;
+mod run;
+
+pub use command_result::CommandResult;
+pub use run::run_command;
--- /dev/null
+++ b/crates/tarragonctl/src/command/print.rs
@@ -0,0 +1,96 @@
+use tarragon_model::api::DrainAnswer;
+use tarragon_model::api::NodeStatus;
+use tarragon_model::api::NoteList;
+use tarragon_model::api::NoteStatus;
+use tarragon_model::catalogue::SubmitAnswer;
+use tarragon_model::check::format_mistakes;
+use tarragon_model::member::MemberRecord;
+use tarragon_model::note::ServiceSpec;
+
+/// Formats the answer to a submitted note.
+pub fn submit_answer(answer: &SubmitAnswer) -> String {
+    match answer {
+        SubmitAnswer::Accepted { revision } => format!("accepted at revision {revision}"),
+        SubmitAnswer::Conflict { next_version, winner_id: Some(id) } => format!(
+            "conflict: note '{id}' was accepted with this version; the next version is {next_version}"
+        ),
+        SubmitAnswer::Conflict { next_version, winner_id: None } => {
+            format!("conflict: the next version is {next_version}")
+        }
+        SubmitAnswer::Invalid { mistakes } => format!("invalid note:\n{}", format_mistakes(mistakes)),
+    }
+}
+
+/// Formats the answer to a drain.
+pub fn drain_answer(answer: &DrainAnswer) -> String {
+    match answer {
+        DrainAnswer::Draining { in_progress } => {
+            format!("draining, {in_progress} requests in progress")
+        }
+        DrainAnswer::Refused { ready_left, known } => format!(
+            "refused: only {ready_left} of {known} servers would stay ready; --force overrides this"
+        ),
+    }
+}
+
+/// Formats where a note is in force.
+pub fn note_status(status: &NoteStatus) -> String {
+    let Some(revision) = status.revision else {
+        return format!("note '{}' was not accepted", status.id);
+    };
+    let mut lines = vec![format!("note '{}' was accepted at revision {revision}", status.id)];
+    for centre in &status.data_centres {
+        lines.push(format!(
+            "  {}: in force at {} of {} known nodes",
+            centre.data_centre, centre.in_force, centre.nodes
+        ));
+    }
+    lines.join("\n")
+}
+
+/// Formats the accepted notes.
+pub fn note_list(list: &NoteList) -> String {
+    let mut lines = vec![format!("revision {}", list.revision)];
+    lines.extend(list.notes.iter().map(|note| format!("  {} {}", note.version, note.id)));
+    lines.join("\n")
+}
+
+/// Formats the services.
+pub fn services(services: &[ServiceSpec]) -> String {
+    let line = |service: &ServiceSpec| {
+        let operations: Vec<_> = service.operations.iter().map(|o| o.name.as_str()).collect();
+        let (operations, calls) = (operations.join(", "), service.calls.join(", "));
+        format!("{}: operations [{operations}], calls [{calls}]", service.name)
+    };
+    services.iter().map(line).collect::<Vec<_>>().join("\n")
+}
+
+/// Formats the members and their backend servers.
+pub fn servers(members: &[MemberRecord]) -> String {
+    let mut members: Vec<&MemberRecord> = members.iter().collect();
+    members.sort_by_key(|m| (&m.data_centre, &m.node));
+    let line = |m: &&MemberRecord| {
+        let service = if m.service.is_empty() { "-" } else { &m.service };
+        let state = format!("{:?}", m.state).to_lowercase();
+        format!("{} {} {service} {state} revision {}", m.data_centre, m.node, m.revision)
+    };
+    members.iter().map(line).collect::<Vec<_>>().join("\n")
+}
+
+/// Formats the state of a node.
+pub fn node_status(status: &NodeStatus) -> String {
+    let backend = &status.backend;
+    let role = if status.is_replica { "control replica" } else { "node" };
+    let mut lines = vec![format!(
+        "{} in {} ({role}), instance {}, revision {}",
+        status.node, status.data_centre, status.instance, status.revision
+    )];
+    if !backend.service.is_empty() {
+        let state = format!("{:?}", backend.state).to_lowercase();
+        lines.push(format!(
+            "  {}: {state}, {} running, {} waiting, limit {}, oldest {} ms",
+            backend.service, backend.in_flight, backend.waiting, backend.limit, backend.oldest_ms
+        ));
+    }
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/tarragonctl/src/lib.rs
@@ -0,0 +1,4 @@
+//! The operators' client of tarragonloom, see `docs/OPERATIONS.md`.
+
+pub mod cli;
+pub mod command;
--- /dev/null
+++ b/crates/tarragond/src/backend/announcements.rs
@@ -0,0 +1,122 @@
+use std::sync::Mutex;
+use std::time::Duration;
+
+use tarragon_model::api::Announcement;
+use tarragon_model::member::BackendState;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tracing::info;
+
+use crate::backend::BackendStatus;
+use crate::backend::OwnBackend;
+
+/// The announcement of the node's own backend server and what follows from it.
+pub struct Announcements {
+    held: Mutex<Held>,
+    status: watch::Sender<BackendStatus>,
+}
+
+#[derive(Default)]
+struct Held {
+    announcement: Option<Announcement>,
+    /// Since when this backend server is announced without a gap.
+    since: Option<Instant>,
+    expires: Option<Instant>,
+    is_drained_by_operator: bool,
+}
+
+impl Default for Announcements {
+    fn default() -> Self {
+        let (status, _) = watch::channel(BackendStatus::absent());
+        Self { held: Mutex::default(), status }
+    }
+}
+
+impl Announcements {
+    /// Records an announcement, the first or a repeated one.
+    pub fn announce(&self, announcement: Announcement) {
+        let now = Instant::now();
+        let mut held = self.held.lock().expect("no holder of the lock panics");
+        let is_same = held.announcement.as_ref().is_some_and(|known| {
+            known.service == announcement.service && known.address == announcement.address
+        });
+        if !is_same {
+            held.since = Some(now);
+        }
+        held.expires = Some(now + Duration::from_millis(announcement.ttl_ms));
+        held.announcement = Some(announcement);
+        self.refresh(&mut held, now);
+    }
+
+    /// Forgets the backend server, because it said that it leaves.
+    pub fn withdraw(&self) {
+        let mut held = self.held.lock().expect("no holder of the lock panics");
+        held.announcement = None;
+        self.refresh(&mut held, Instant::now());
+    }
+
+    /// Starts or ends a drain on the operator's behalf. A drain outlives the announcement, so that
+    /// a backend server that restarts for cleaning gets no work before the drain ends.
+    pub fn set_drain(&self, is_draining: bool) {
+        let now = Instant::now();
+        let mut held = self.held.lock().expect("no holder of the lock panics");
+        if held.is_drained_by_operator && !is_draining {
+            held.since = Some(now);
+        }
+        held.is_drained_by_operator = is_draining;
+        self.refresh(&mut held, now);
+    }
+
+    /// Present status.
+    pub fn present(&self) -> BackendStatus {
+        self.status.borrow().clone()
+    }
+
+    /// Applies what depends on time: expiry and the end of the cold start.
+    pub fn tick(&self) {
+        let mut held = self.held.lock().expect("no holder of the lock panics");
+        self.refresh(&mut held, Instant::now());
+    }
+
+    fn refresh(&self, held: &mut Held, now: Instant) {
+        if held.expires.is_some_and(|expires| expires <= now) {
+            held.announcement = None;
+        }
+        let status = held.status(now);
+        self.status.send_if_modified(|present| {
+            let is_changed = *present != status;
+            if is_changed {
+                info!("drain: backend server {:?} -> {:?}", present.state, status.state);
+                *present = status;
+            }
+            is_changed
+        });
+    }
+}
+
+impl Held {
+    fn status(&self, now: Instant) -> BackendStatus {
+        let Some(announcement) = &self.announcement else { return BackendStatus::absent() };
+        let cold_start = Duration::from_millis(announcement.cold_start_ms);
+        let is_cold = self.since.is_some_and(|since| now < since + cold_start);
+        let state = if announcement.draining || self.is_drained_by_operator {
+            BackendState::Draining
+        } else if is_cold {
+            BackendState::Starting
+        } else {
+            BackendState::Ready
+        };
+        BackendStatus {
+            service: announcement.service.clone(),
+            address: Some(announcement.address),
+            slots: announcement.slots,
+            state,
+        }
+    }
+}
+
+impl OwnBackend for Announcements {
+    fn status(&self) -> watch::Receiver<BackendStatus> {
+        self.status.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/tarragond/src/catalogue/mod.rs
@@ -0,0 +1,8 @@
+//! Keeps the node's copy of the catalogue current.
+
+mod follower;
+mod sources;
+
+pub use follower::CatalogueFollower;
+pub use follower::CatalogueFollowerParts;
+pub use sources::CatalogueSources;
--- /dev/null
+++ b/crates/tarragond/src/cli/args.rs
@@ -0,0 +1,28 @@
+use std::path::PathBuf;
+
+use clap::Parser;
+use clap::Subcommand;
+
+/// Node daemon of tarragonloom, an overload control layer for service call graphs.
+#[derive(Debug, Parser)]
+#[command(name = "tarragond", version)]
+pub struct Args {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// Commands of the daemon.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Run the node until SIGTERM or SIGINT, then drain and exit.
+    Run {
+        /// Settings file in JSON.
+        settings: PathBuf,
+    },
+    /// Check a settings file and list every mistake.
+    Check {
+        /// Settings file in JSON.
+        settings: PathBuf,
+    },
+}
--- /dev/null
+++ b/crates/tarragond/src/cli/run.rs
@@ -0,0 +1,58 @@
+use std::process::ExitCode;
+
+use error_stack::Report;
+
+use crate::app::run_node;
+use crate::app::AppError;
+use crate::cli::Args;
+use crate::cli::Command;
+use crate::conf::load_settings;
+use crate::conf::SettingsError;
+
+/// Result of a command, applied by `main`.
+#[derive(Debug)]
+pub enum CommandResult {
+    /// The command did its work; the text goes to standard output.
+    Done(String),
+    /// The settings are wrong or cannot be read.
+    BadSettings(Report<SettingsError>),
+    /// The node failed.
+    Failed(Report<AppError>),
+}
+
+impl CommandResult {
+    /// Prints the result and returns the exit code that `docs/OPERATIONS.md` documents.
+    pub fn apply(self) -> ExitCode {
+        match self {
+            Self::Done(text) => {
+                print!("{text}");
+                ExitCode::SUCCESS
+            }
+            Self::BadSettings(report) => {
+                eprintln!("tarragond: {}", report.current_context());
+                ExitCode::from(2)
+            }
+            Self::Failed(report) => {
+                eprintln!("tarragond: {report:?}");
+                ExitCode::from(1)
+            }
+        }
+    }
+}
+
+/// Runs a command of the daemon.
+pub fn run_command(args: &Args) -> CommandResult {
+    match &args.command {
+        Command::Check { settings } => match load_settings(settings) {
+            Ok(_) => CommandResult::Done("settings are valid\n".into()),
+            Err(report) => CommandResult::BadSettings(report),
+        },
+        Command::Run { settings } => match load_settings(settings) {
+            Ok(settings) => match run_node(settings) {
+                Ok(()) => CommandResult::Done(String::new()),
+                Err(report) => CommandResult::Failed(report),
+            },
+            Err(report) => CommandResult::BadSettings(report),
+        },
+    }
+}
--- /dev/null
+++ b/crates/tarragond/src/conf/check.rs
@@ -0,0 +1,98 @@
+use std::collections::HashSet;
+
+use tarragon_model::check::Mistake;
+
+use crate::conf::Settings;
+
+/// Checks what the shape of the settings cannot express.
+pub fn check_settings(settings: &Settings) -> Vec<Mistake> {
+    let mut mistakes = Vec::new();
+    check_names(settings, &mut mistakes);
+    check_addresses(settings, &mut mistakes);
+    check_replicas(settings, &mut mistakes);
+    check_limits(settings, &mut mistakes);
+    mistakes
+}
+
+fn check_names(settings: &Settings, mistakes: &mut Vec<Mistake>) {
+    let names = [
+        ("$.node_name", &settings.node_name),
+        ("$.data_centre", &settings.data_centre),
+        ("$.region", &settings.region),
+    ];
+    for (path, name) in names {
+        let is_allowed = |b: u8| b.is_ascii_alphanumeric() || b == b'-';
+        if name.is_empty() || name.len() > 63 || !name.bytes().all(is_allowed) {
+            mistakes.push(Mistake::new(path, "must be 1 to 63 of a-z, A-Z, 0-9 and '-'"));
+        }
+    }
+}
+
+fn check_addresses(settings: &Settings, mistakes: &mut Vec<Mistake>) {
+    let listen = &settings.listen;
+    let mut streams = vec![
+        ("$.listen.caller_address", listen.caller_address),
+        ("$.listen.exit_address", listen.exit_address),
+        ("$.listen.peer_address", listen.peer_address),
+        ("$.listen.control_address", listen.control_address),
+    ];
+    streams.extend(listen.replica_address.map(|a| ("$.listen.replica_address", a)));
+    let mut seen = HashSet::new();
+    for (path, address) in streams {
+        if !seen.insert(address) {
+            mistakes.push(Mistake::new(path, format!("{address} is used by two listeners")));
+        }
+    }
+    let told_to_others = [
+        ("$.listen.peer_address", listen.peer_address),
+        ("$.listen.gossip_address", listen.gossip_address),
+    ];
+    for (path, address) in told_to_others {
+        if address.ip().is_unspecified() || address.port() == 0 {
+            let message = "must be an address that other nodes can reach";
+            mistakes.push(Mistake::new(path, message));
+        }
+    }
+}
+
+fn check_replicas(settings: &Settings, mistakes: &mut Vec<Mistake>) {
+    if settings.control_replicas.is_empty() {
+        mistakes.push(Mistake::new("$.control_replicas", "must name at least one replica"));
+    }
+    let mut names = HashSet::new();
+    for (at, replica) in settings.control_replicas.iter().enumerate() {
+        if !names.insert(&replica.node_name) {
+            let path = format!("$.control_replicas[{at}].node_name");
+            mistakes.push(Mistake::new(path, format!("'{}' is named twice", replica.node_name)));
+        }
+    }
+    if settings.data_dir.is_some() && settings.listen.replica_address.is_none() {
+        mistakes.push(Mistake::new("$.listen.replica_address", "is required with data_dir"));
+    }
+    if settings.data_dir.is_none() && settings.listen.replica_address.is_some() {
+        mistakes.push(Mistake::new("$.data_dir", "is required with listen.replica_address"));
+    }
+}
+
+fn check_limits(settings: &Settings, mistakes: &mut Vec<Mistake>) {
+    let limits = &settings.limits;
+    let at_least_one = [
+        ("max_caller_connections", u64::from(limits.max_caller_connections)),
+        ("max_backend_connections", u64::from(limits.max_backend_connections)),
+        ("heartbeat_timeout_ms", limits.heartbeat_timeout_ms),
+        ("key_retention_s", limits.key_retention_s),
+        ("long_work_ms", limits.long_work_ms),
+    ];
+    for (name, value) in at_least_one {
+        if value == 0 {
+            mistakes.push(Mistake::new(format!("$.limits.{name}"), "must be at least 1"));
+        }
+    }
+    // Below 8 KiB hyper refuses to configure its buffer.
+    if limits.max_head_bytes < 8192 {
+        mistakes.push(Mistake::new("$.limits.max_head_bytes", "must be at least 8192"));
+    }
+    if limits.retry_tokens > 100 {
+        mistakes.push(Mistake::new("$.limits.retry_tokens", "must be at most 100"));
+    }
+}
--- /dev/null
+++ b/crates/tarragond/src/conf/settings.rs
@@ -0,0 +1,133 @@
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Settings of one node. `docs/OPERATIONS.md` describes each field for operators.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the node, unique in the deployment.
+    pub node_name: String,
+    /// Data centre that the host stands in.
+    pub data_centre: String,
+    /// Region of the data centre.
+    pub region: String,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// Membership addresses of some other nodes, to join by.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The control replicas of the deployment when it was set up.
+    pub control_replicas: Vec<ControlReplica>,
+    /// Folder for durable state; makes this node a control replica.
+    #[serde(default)]
+    pub data_dir: Option<PathBuf>,
+    /// File with the secret that the nodes share.
+    pub deployment_key_file: PathBuf,
+    /// File with the secret that operators' commands carry.
+    pub operator_key_file: PathBuf,
+    /// StatsD address for metrics; none are sent without it.
+    #[serde(default)]
+    pub statsd_address: Option<SocketAddr>,
+    /// Log output.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Limits of the data path.
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+/// Addresses that a node listens on; other nodes reach it at the same addresses.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// HTTP/1.1 for callers.
+    pub caller_address: SocketAddr,
+    /// HTTP/1.1 for the calls of the node's own backend server.
+    pub exit_address: SocketAddr,
+    /// HTTP/2 for other nodes.
+    pub peer_address: SocketAddr,
+    /// UDP for membership.
+    pub gossip_address: SocketAddr,
+    /// HTTP/1.1 for operators and announcements.
+    pub control_address: SocketAddr,
+    /// TCP between control replicas; required with `data_dir`.
+    #[serde(default)]
+    pub replica_address: Option<SocketAddr>,
+}
+
+/// A control replica as the settings of every node name it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ControlReplica {
+    /// Name of the node.
+    pub node_name: String,
+    /// Its control address.
+    pub control_address: SocketAddr,
+    /// Its address for other control replicas.
+    pub replica_address: SocketAddr,
+}
+
+/// Format of log lines.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogFormat {
+    /// Text for a terminal.
+    #[default]
+    Human,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Log output.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// Format of the lines.
+    pub format: LogFormat,
+    /// Filter, for example `info` or `tarragond::gate=debug`.
+    pub filter: String,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self { format: LogFormat::Human, filter: "info".into() }
+    }
+}
+
+/// Limits of the data path.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Retries that one request may cost in its whole call tree.
+    pub retry_tokens: u32,
+    /// Longest head of a request, in bytes.
+    pub max_head_bytes: u32,
+    /// Most connections from callers at once.
+    pub max_caller_connections: u32,
+    /// Most connections to the node's own backend server at once.
+    pub max_backend_connections: u32,
+    /// Time without an answer after which a peer connection is replaced, in ms.
+    pub heartbeat_timeout_ms: u64,
+    /// Time for which the answer to a keyed request is kept, in s.
+    pub key_retention_s: u64,
+    /// Expected run time from which work counts as long, in ms.
+    pub long_work_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            retry_tokens: 3,
+            max_head_bytes: 32 << 10,
+            max_caller_connections: 4096,
+            max_backend_connections: 550,
+            heartbeat_timeout_ms: 1500,
+            key_retention_s: 86_400,
+            long_work_ms: 1000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tarragond/src/control/api/api_context.rs
@@ -0,0 +1,83 @@
+use std::sync::Arc;
+
+use dropshot::ClientErrorStatusCode;
+use dropshot::HttpError;
+use dropshot::RequestContext;
+use http::header::AUTHORIZATION;
+use tarragon_model::identity::InstanceId;
+use tarragon_wire::DeploymentKey;
+use tracing::warn;
+
+use crate::backend::Announcements;
+use crate::control::ControlAnswer;
+use crate::control::ControlFailure;
+use crate::control::ControlLog;
+use crate::control::ControlRequest;
+use crate::control::GateView;
+use crate::control::OperatorKey;
+use crate::directory::Directory;
+
+/// What the endpoints work with.
+pub struct ApiContext {
+    /// Name of this node.
+    pub node_name: String,
+    /// This node's present life.
+    pub instance: InstanceId,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Whether it holds a control replica.
+    pub is_replica: bool,
+    /// The replicated log.
+    pub log: Arc<dyn ControlLog>,
+    /// The node's view of the deployment.
+    pub directory: Arc<dyn Directory>,
+    /// The node's own backend server.
+    pub announcements: Arc<Announcements>,
+    /// The gate in front of it.
+    pub gate: Arc<dyn GateView>,
+    /// Secret of the nodes.
+    pub deployment_key: DeploymentKey,
+    /// Secret of the operators.
+    pub operator_key: OperatorKey,
+}
+
+impl ApiContext {
+    /// Sends a request to the replicated log.
+    ///
+    /// # Errors
+    /// 503 if it certainly changed nothing, 504 if that is unknown.
+    pub async fn ask(&self, request: &ControlRequest) -> Result<ControlAnswer, HttpError> {
+        self.log.request(request).await.map_err(|failure| match failure {
+            ControlFailure::OutcomeUnknown => {
+                let mut error = HttpError::for_unavail(None, failure.to_string());
+                error.status_code = dropshot::ErrorStatusCode::GATEWAY_TIMEOUT;
+                // The text of an unknown outcome is safe to show and tells operators what to do.
+                error.external_message = failure.to_string();
+                error
+            }
+            _ => {
+                let mut error = HttpError::for_unavail(None, failure.to_string());
+                error.external_message = failure.to_string();
+                error
+            }
+        })
+    }
+}
+
+/// Refuses a request that does not carry the operators' secret.
+pub fn require_operator(request: &RequestContext<Arc<ApiContext>>) -> Result<(), HttpError> {
+    let header = request.request.headers().get(AUTHORIZATION);
+    let bearer = header.and_then(|v| v.to_str().ok()).and_then(|v| v.strip_prefix("Bearer "));
+    if bearer.is_some_and(|bearer| request.context().operator_key.is_matched_by(bearer)) {
+        return Ok(());
+    }
+    warn!(
+        "note: refused a command without the operator key from {}",
+        request.request.remote_addr()
+    );
+    Err(HttpError::for_client_error(
+        None,
+        ClientErrorStatusCode::UNAUTHORIZED,
+        "the operator key is missing or wrong".into(),
+    ))
+}
--- /dev/null
+++ b/crates/tarragond/src/control/api/backend.rs
@@ -0,0 +1,113 @@
+use std::sync::Arc;
+
+use dropshot::endpoint;
+use dropshot::ClientErrorStatusCode;
+use dropshot::HttpError;
+use dropshot::HttpResponseOk;
+use dropshot::HttpResponseUpdatedNoContent;
+use dropshot::RequestContext;
+use dropshot::TypedBody;
+use tarragon_model::api::Announcement;
+use tarragon_model::api::DrainAnswer;
+use tarragon_model::api::DrainRequest;
+use tarragon_model::member::BackendState;
+use tracing::info;
+
+use crate::control::api::api_context::require_operator;
+use crate::control::api::ApiContext;
+
+/// Shortest time to live of an announcement, in ms; a shorter one would expire between repeats.
+const MIN_TTL_MS: u64 = 100;
+
+/// Refuses announcements from other hosts, because a node speaks only for its own backend server.
+fn require_same_host(request: &RequestContext<Arc<ApiContext>>) -> Result<(), HttpError> {
+    let remote = request.request.remote_addr().ip();
+    if remote.is_loopback() || remote == request.server.local_addr.ip() {
+        return Ok(());
+    }
+    Err(HttpError::for_client_error(
+        None,
+        ClientErrorStatusCode::FORBIDDEN,
+        "a backend server announces itself to the node on its own host".into(),
+    ))
+}
+
+/// Announces the backend server of this host; repeated within `ttl_ms`.
+#[endpoint { method = PUT, path = "/v1/backend" }]
+pub async fn announce_backend(
+    request: RequestContext<Arc<ApiContext>>,
+    body: TypedBody<Announcement>,
+) -> Result<HttpResponseUpdatedNoContent, HttpError> {
+    require_same_host(&request)?;
+    let announcement = body.into_inner();
+    if announcement.service.is_empty()
+        || announcement.ttl_ms < MIN_TTL_MS
+        || announcement.slots == 0
+    {
+        let message =
+            format!("service must be set, slots at least 1, ttl_ms at least {MIN_TTL_MS}");
+        return Err(HttpError::for_bad_request(None, message));
+    }
+    request.context().announcements.announce(announcement);
+    Ok(HttpResponseUpdatedNoContent())
+}
+
+/// Withdraws the backend server of this host.
+#[endpoint { method = DELETE, path = "/v1/backend" }]
+pub async fn withdraw_backend(
+    request: RequestContext<Arc<ApiContext>>,
+) -> Result<HttpResponseUpdatedNoContent, HttpError> {
+    require_same_host(&request)?;
+    request.context().announcements.withdraw();
+    Ok(HttpResponseUpdatedNoContent())
+}
+
+/// Drains the backend server of this host.
+#[endpoint { method = POST, path = "/v1/drain" }]
+pub async fn start_drain(
+    request: RequestContext<Arc<ApiContext>>,
+    body: TypedBody<DrainRequest>,
+) -> Result<HttpResponseOk<DrainAnswer>, HttpError> {
+    require_operator(&request)?;
+    let context = request.context();
+    if let Some(refusal) = refusal(context).filter(|_| !body.into_inner().force) {
+        return Ok(HttpResponseOk(refusal));
+    }
+    context.announcements.set_drain(true);
+    let report = context.gate.report();
+    let in_progress = report.in_flight + report.waiting;
+    info!("drain: started by an operator, {in_progress} requests in progress");
+    Ok(HttpResponseOk(DrainAnswer::Draining { in_progress }))
+}
+
+/// Ends the drain of the backend server of this host.
+#[endpoint { method = DELETE, path = "/v1/drain" }]
+pub async fn end_drain(
+    request: RequestContext<Arc<ApiContext>>,
+) -> Result<HttpResponseUpdatedNoContent, HttpError> {
+    require_operator(&request)?;
+    request.context().announcements.set_drain(false);
+    info!("drain: ended by an operator");
+    Ok(HttpResponseUpdatedNoContent())
+}
+
+/// Refuses a second drain of a service that would leave fewer than half of its servers ready.
+fn refusal(context: &ApiContext) -> Option<DrainAnswer> {
+    let service = context.announcements.present().service;
+    let members = context.directory.members().borrow().clone();
+    let others: Vec<_> = members
+        .iter()
+        .filter(|m| m.service == service && m.instance != context.instance)
+        .filter(|m| m.state != BackendState::Absent)
+        .collect();
+    let takes_work = |state| matches!(state, BackendState::Ready | BackendState::Starting);
+    let ready_left = others.iter().filter(|m| takes_work(m.state)).count();
+    let is_another_draining = others.iter().any(|m| m.state == BackendState::Draining);
+    let known = others.len() + 1;
+    let is_refused = !service.is_empty() && is_another_draining && ready_left * 2 < known;
+    is_refused.then(|| DrainAnswer::Refused { ready_left: count(ready_left), known: count(known) })
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/tarragond/src/control/api/internal.rs
@@ -0,0 +1,69 @@
+use std::sync::Arc;
+
+use dropshot::endpoint;
+use dropshot::ClientErrorStatusCode;
+use dropshot::FreeformBody;
+use dropshot::HttpError;
+use dropshot::HttpResponseOk;
+use dropshot::Query;
+use dropshot::RequestContext;
+use dropshot::UntypedBody;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+use tarragon_wire::open;
+use tarragon_wire::seal;
+use tarragon_wire::Channel;
+use tracing::warn;
+
+use crate::control::api::ApiContext;
+use crate::control::ControlFailure;
+use crate::control::ControlReply;
+use crate::control::ControlRequest;
+
+/// Revision from which changes are wanted.
+#[derive(Debug, Deserialize, JsonSchema)]
+pub struct SinceQuery {
+    since: u64,
+}
+
+/// Takes a control request from another node; only a replica answers it.
+#[endpoint { method = POST, path = "/v1/control" }]
+pub async fn control_request(
+    request: RequestContext<Arc<ApiContext>>,
+    body: UntypedBody,
+) -> Result<HttpResponseOk<FreeformBody>, HttpError> {
+    let context = request.context();
+    let message =
+        open::<ControlRequest>(&context.deployment_key, Channel::Replica, body.as_bytes());
+    let message = message.map_err(|e| {
+        warn!("note: dropped a control request from {}: {e}", request.request.remote_addr());
+        HttpError::for_client_error(None, ClientErrorStatusCode::FORBIDDEN, e.to_string())
+    })?;
+    let reply: ControlReply = if context.is_replica {
+        context.log.request(&message).await
+    } else {
+        Err(ControlFailure::NotLeader { leader: None })
+    };
+    sealed(context, &reply)
+}
+
+/// Changes of the catalogue since a revision, for another node.
+#[endpoint { method = GET, path = "/v1/catalogue" }]
+pub async fn catalogue_changes(
+    request: RequestContext<Arc<ApiContext>>,
+    query: Query<SinceQuery>,
+) -> Result<HttpResponseOk<FreeformBody>, HttpError> {
+    let context = request.context();
+    let catalogue = context.directory.catalogue().borrow().clone();
+    sealed(context, &catalogue.changes_since(query.into_inner().since))
+}
+
+fn sealed<T: Serialize>(
+    context: &ApiContext,
+    message: &T,
+) -> Result<HttpResponseOk<FreeformBody>, HttpError> {
+    let bytes = seal(&context.deployment_key, Channel::Replica, message)
+        .map_err(|e| HttpError::for_internal_error(e.to_string()))?;
+    Ok(HttpResponseOk(FreeformBody(bytes.into())))
+}
--- /dev/null
+++ b/crates/tarragond/src/control/api/mod.rs
@@ -0,0 +1,12 @@
+//! HTTP endpoints for operators, for the node's own backend server, and for control requests
+//! between nodes. `docs/OPERATIONS.md` describes them for operators.
+
+mod api_context;
+mod backend;
+mod internal;
+mod notes;
+mod server;
+mod view;
+
+pub use api_context::ApiContext;
+pub use server::ControlApi;
--- /dev/null
+++ b/crates/tarragond/src/control/api/notes.rs
@@ -0,0 +1,97 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use dropshot::endpoint;
+use dropshot::HttpError;
+use dropshot::HttpResponseOk;
+use dropshot::Path;
+use dropshot::RequestContext;
+use dropshot::UntypedBody;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use tarragon_model::api::DataCentreRevision;
+use tarragon_model::api::NoteList;
+use tarragon_model::api::NoteStatus;
+use tarragon_model::catalogue::SubmitAnswer;
+use tarragon_model::note::ReleaseNote;
+use tracing::info;
+
+use crate::control::api::api_context::require_operator;
+use crate::control::api::ApiContext;
+use crate::control::ControlAnswer;
+use crate::control::ControlCommand;
+use crate::control::ControlQuery;
+use crate::control::ControlRequest;
+
+/// Path parameter with the id of a release note.
+#[derive(Debug, Deserialize, JsonSchema)]
+pub struct NotePath {
+    id: String,
+}
+
+/// Submits a release note.
+#[endpoint { method = POST, path = "/v1/notes" }]
+pub async fn submit_note(
+    request: RequestContext<Arc<ApiContext>>,
+    body: UntypedBody,
+) -> Result<HttpResponseOk<SubmitAnswer>, HttpError> {
+    require_operator(&request)?;
+    let note = match ReleaseNote::from_json(body.as_str()?) {
+        Ok(note) => note,
+        Err(mistakes) => return Ok(HttpResponseOk(SubmitAnswer::Invalid { mistakes })),
+    };
+    let (id, version) = (note.id.clone(), note.version);
+    let command = ControlRequest::Propose(ControlCommand::Submit(note));
+    let answer = request.context().ask(&command).await?;
+    info!("note: '{id}' version {version} -> {answer:?}");
+    match answer {
+        ControlAnswer::Submit(answer) => Ok(HttpResponseOk(answer)),
+        _ => Err(HttpError::for_internal_error("the log gave another kind of answer".into())),
+    }
+}
+
+/// Lists the accepted release notes.
+#[endpoint { method = GET, path = "/v1/notes" }]
+pub async fn list_notes(
+    request: RequestContext<Arc<ApiContext>>,
+) -> Result<HttpResponseOk<NoteList>, HttpError> {
+    require_operator(&request)?;
+    accepted_notes(request.context()).await.map(HttpResponseOk)
+}
+
+/// Tells whether a release note was accepted and where it is in force.
+#[endpoint { method = GET, path = "/v1/notes/{id}" }]
+pub async fn note_status(
+    request: RequestContext<Arc<ApiContext>>,
+    path: Path<NotePath>,
+) -> Result<HttpResponseOk<NoteStatus>, HttpError> {
+    require_operator(&request)?;
+    let id = path.into_inner().id;
+    let notes = accepted_notes(request.context()).await?.notes;
+    let revision = notes.iter().find(|note| note.id == id).map(|note| note.version);
+    let data_centres = data_centre_progress(request.context(), revision.unwrap_or(u64::MAX));
+    Ok(HttpResponseOk(NoteStatus { id, revision, data_centres }))
+}
+
+async fn accepted_notes(context: &ApiContext) -> Result<NoteList, HttpError> {
+    match context.ask(&ControlRequest::Read(ControlQuery::Notes)).await? {
+        ControlAnswer::Notes(notes) => Ok(notes),
+        _ => Err(HttpError::for_internal_error("the log gave another kind of answer".into())),
+    }
+}
+
+/// Counts by data centre the nodes that this node knows and those that have reached a revision.
+fn data_centre_progress(context: &ApiContext, revision: u64) -> Vec<DataCentreRevision> {
+    let mut counts: BTreeMap<String, (u32, u32)> = BTreeMap::new();
+    for member in context.directory.members().borrow().iter() {
+        let (nodes, in_force) = counts.entry(member.data_centre.clone()).or_default();
+        *nodes += 1;
+        *in_force += u32::from(member.revision >= revision);
+    }
+    let progress = counts.into_iter().map(|(data_centre, (nodes, in_force))| DataCentreRevision {
+        data_centre,
+        nodes,
+        in_force,
+    });
+    progress.collect()
+}
--- /dev/null
+++ b/crates/tarragond/src/control/control_state.rs
@@ -0,0 +1,125 @@
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+use tarragon_model::api::NoteEntry;
+use tarragon_model::api::NoteList;
+use tarragon_model::catalogue::Catalogue;
+use tarragon_model::catalogue::SubmitAnswer;
+use tarragon_model::identity::InstanceId;
+use tarragon_model::note::ReleaseNote;
+
+/// A change that goes through the replicated log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ControlCommand {
+    /// Submits a release note.
+    Submit(ReleaseNote),
+    /// Claims an idempotency key for a gate instance.
+    Claim {
+        /// Service and key.
+        key: ClaimKey,
+        /// Instance that wants to run the request.
+        wanted: InstanceId,
+        /// Wall clock of the proposer, in s since 1970; it only ages claims.
+        now_s: u64,
+        /// Time for which the claim is kept, in s.
+        retention_s: u64,
+    },
+}
+
+/// A key within its service.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ClaimKey {
+    /// Service that the key was sent to.
+    pub service: String,
+    /// The key as the caller wrote it.
+    pub key: String,
+}
+
+/// A question that changes nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ControlQuery {
+    /// The accepted release notes.
+    Notes,
+}
+
+/// Answer to a command or a question.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ControlAnswer {
+    /// Answer to a submitted note.
+    Submit(SubmitAnswer),
+    /// Instance that owns the claimed key.
+    Owner(InstanceId),
+    /// The accepted notes.
+    Notes(NoteList),
+}
+
+/// The state machine behind the replicated log.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlState {
+    catalogue: Catalogue,
+    claims: BTreeMap<ClaimKey, Claim>,
+    /// Claims by the time at which they may be dropped, so that dropping looks at no others.
+    expiry: BTreeMap<u64, Vec<ClaimKey>>,
+    /// Latest time that a command carried; it never goes down, whatever the proposers' clocks do.
+    now_s: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Claim {
+    owner: InstanceId,
+}
+
+impl ControlState {
+    /// The catalogue with its accepted notes.
+    pub fn catalogue(&self) -> &Catalogue {
+        &self.catalogue
+    }
+
+    /// Applies a command.
+    pub fn apply(&mut self, command: &ControlCommand) -> ControlAnswer {
+        match command {
+            ControlCommand::Submit(note) => ControlAnswer::Submit(self.catalogue.submit(note)),
+            ControlCommand::Claim { key, wanted, now_s, retention_s } => {
+                self.now_s = self.now_s.max(*now_s);
+                self.drop_expired_claims();
+                ControlAnswer::Owner(self.claim(key, *wanted, *retention_s))
+            }
+        }
+    }
+
+    /// Answers a question.
+    pub fn query(&self, query: &ControlQuery) -> ControlAnswer {
+        match query {
+            ControlQuery::Notes => {
+                let accepted = self.catalogue.accepted().iter().zip(1..);
+                let notes = accepted.map(|(n, version)| NoteEntry { version, id: n.id.clone() });
+                ControlAnswer::Notes(NoteList {
+                    revision: self.catalogue.revision(),
+                    notes: notes.collect(),
+                })
+            }
+        }
+    }
+
+    fn claim(&mut self, key: &ClaimKey, wanted: InstanceId, retention_s: u64) -> InstanceId {
+        if let Some(claim) = self.claims.get(key) {
+            return claim.owner;
+        }
+        self.claims.insert(key.clone(), Claim { owner: wanted });
+        let expires_s = self.now_s.saturating_add(retention_s);
+        self.expiry.entry(expires_s).or_default().push(key.clone());
+        wanted
+    }
+
+    fn drop_expired_claims(&mut self) {
+        while let Some(entry) = self.expiry.first_entry() {
+            if *entry.key() > self.now_s {
+                break;
+            }
+            for key in entry.remove() {
+                self.claims.remove(&key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tarragond/src/control/mod.rs
@@ -0,0 +1,24 @@
+//! The control side of a node: the state behind the replicated log, and the control API.
+
+pub mod api;
+mod control_log;
+mod control_state;
+mod gate_view;
+mod local_log;
+mod operator_key;
+mod remote_log;
+
+pub use control_log::ControlFailure;
+pub use control_log::ControlLog;
+pub use control_log::ControlReply;
+pub use control_log::ControlRequest;
+pub use control_state::ClaimKey;
+pub use control_state::ControlAnswer;
+pub use control_state::ControlCommand;
+pub use control_state::ControlQuery;
+pub use control_state::ControlState;
+pub use gate_view::GateReport;
+pub use gate_view::GateView;
+pub use local_log::LocalLog;
+pub use operator_key::OperatorKey;
+pub use remote_log::RemoteLog;
--- a/crates/tarragond/src/lib.rs
+++ b/crates/tarragond/src/lib.rs
@@ -1,5 +1,8 @@
 //! The node daemon of tarragonloom, see `docs/design.md`.
 
 pub mod backend;
+pub mod catalogue;
 pub mod claims;
+pub mod conf;
+pub mod control;
 pub mod directory;
--- a/crates/tarragond/src/main.rs
+++ b/crates/tarragond/src/main.rs
@@ -1,3 +1,11 @@
-//! Entry point.
+//! Entry point of the node daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Parser;
+use tarragond::cli::run_command;
+use tarragond::cli::Args;
+
+fn main() -> ExitCode {
+    run_command(&Args::parse()).apply()
+}
