--- a/crates/tarragond/src/app/logging.rs
+++ b/crates/tarragond/src/app/logging.rs
@@ -1,4 +1,5 @@
 use std::io::stderr;
+use std::io::IsTerminal;
 
 use error_stack::Report;
 use error_stack::ResultExt;
@@ -15,7 +16,10 @@
 pub fn start_logging(settings: &LogSettings) -> Result<(), Report<AppError>> {
     let filter = EnvFilter::try_new(&settings.filter)
         .change_context_lazy(|| AppError::LogFilter(settings.filter.clone()))?;
-    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(stderr);
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_ansi(stderr().is_terminal())
+        .with_writer(stderr);
     // A second call in one process, as in tests, keeps the first output.
     let _ = match settings.format {
         LogFormat::Human => builder.with_target(false).try_init(),
--- a/crates/tarragond/src/control/api/server.rs
+++ b/crates/tarragond/src/control/api/server.rs
@@ -9,10 +9,15 @@
 use dropshot::ServerBuilder;
 use error_stack::Report;
 use error_stack::ResultExt;
+use slog::Drain;
+use slog::Level;
+use slog::LevelFilter;
+use slog::Logger;
 use tarragon_kernel::Kernel;
 use tarragon_kernel::KernelError;
 use tarragon_kernel::Service;
 use tokio_util::sync::CancellationToken;
+use tracing_slog::TracingSlogDrain;
 
 use crate::control::api::backend;
 use crate::control::api::internal;
@@ -40,7 +45,9 @@
             default_request_body_max_bytes: MAX_BODY_BYTES,
             ..ConfigDropshot::default()
         };
-        let log = slog::Logger::root(tracing_slog::TracingSlogDrain, slog::o!());
+        // dropshot logs several lines for each request at the level `info`.
+        let drain = LevelFilter::new(TracingSlogDrain, Level::Warning).fuse();
+        let log = Logger::root(drain, slog::o!());
         let server = ServerBuilder::new(description(), Arc::new(context), log)
             .config(config)
             .start()
