Add membership: SWIM state machine and UDP driver

Cause: nodes have no list of each other; no list of backend servers exists.

Change: Membership is a deterministic state machine (probes, indirect probes, suspicion, refutation, piggybacked updates, departures, full exchange); Driver runs it on a UDP socket with authenticated datagrams and publishes the members through a watch channel. Without a FullStateSource, a join is paged over UDP.

Ruled out: answering a join with all pages at once, because 2,200 records are 140 datagrams that the seed would send in one burst; the joining node asks for each page. Announcing each catalogue revision as a member update: 2,200 members with 1,100 daily revisions would cost more than the traffic budget, so the revision travels with headers.

Measured: nothing yet.

--- /dev/null
+++ b/crates/membership/src/driver/mod.rs
@@ -0,0 +1,14 @@
+//! Runs the state machine on a UDP socket.
+
+mod command;
+mod counters;
+mod full_state_source;
+mod handle;
+mod log_limit;
+mod udp_driver;
+
+pub use counters::DriverCounters;
+pub use full_state_source::FetchError;
+pub use full_state_source::FullStateSource;
+pub use handle::MembershipHandle;
+pub use udp_driver::Driver;
--- /dev/null
+++ b/crates/membership/src/message/datagram.rs
@@ -0,0 +1,21 @@
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::message::Body;
+use crate::message::Header;
+use crate::message::Update;
+
+/// Bytes left for updates in a datagram of 1,200 bytes: 18 bytes are the envelope, at most 30 the
+/// header, 40 the body and 3 the number of updates.
+pub(crate) const UPDATES_BUDGET_BYTES: usize = 1_100;
+
+/// One membership message.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// Sender and the revisions it knows.
+    pub header: Header,
+    /// Purpose of the datagram.
+    pub body: Body,
+    /// Piggybacked news about members.
+    pub updates: Vec<Update>,
+}
--- /dev/null
+++ b/crates/membership/src/protocol/local_health.rs
@@ -0,0 +1,35 @@
+/// Score of how well the own node keeps up (Lifeguard, "local health multiplier").
+///
+/// Missed answers raise it, answered probes lower it. A node with a high score probes more slowly
+/// and waits longer, because the missing answers are probably its own fault.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LocalHealth {
+    score: u32,
+    max_score: u32,
+    is_enabled: bool,
+}
+
+impl LocalHealth {
+    pub fn new(max_score: u32, is_enabled: bool) -> Self {
+        Self { score: 0, max_score, is_enabled }
+    }
+
+    pub fn worsen(&mut self, points: u32) {
+        if self.is_enabled {
+            self.score = (self.score + points).min(self.max_score);
+        }
+    }
+
+    pub fn improve(&mut self) {
+        self.score = self.score.saturating_sub(1);
+    }
+
+    /// A time stretched by the score.
+    pub fn scale_ms(&self, base_ms: u64) -> u64 {
+        base_ms * u64::from(1 + self.score)
+    }
+
+    pub fn score(&self) -> u32 {
+        self.score
+    }
+}
--- /dev/null
+++ b/crates/membership/src/protocol/membership.rs
@@ -0,0 +1,334 @@
+use std::net::SocketAddr;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use tarragon_model::identity::InstanceId;
+use tarragon_model::member::BackendState;
+use tarragon_model::member::MemberRecord;
+
+use crate::message::Body;
+use crate::message::Datagram;
+use crate::message::Header;
+use crate::message::Update;
+use crate::protocol::exchange::Exchange;
+use crate::protocol::local_health::LocalHealth;
+use crate::protocol::probing::Probe;
+use crate::protocol::probing::Relay;
+use crate::protocol::spreading::Spreading;
+use crate::protocol::table::MemberTable;
+use crate::protocol::update_queue::Urgency;
+use crate::protocol::Action;
+use crate::protocol::Counts;
+use crate::protocol::Event;
+use crate::protocol::Member;
+use crate::protocol::MemberStatus;
+use crate::settings::MembershipSettings;
+
+/// Membership of one node as a deterministic state machine.
+///
+/// Probes, indirect probes, suspicion and piggybacked updates follow SWIM; the local health score,
+/// the answers of helpers without result and the dynamic suspicion timeouts follow Lifeguard (see
+/// the crate page for both papers). A record's `version` is SWIM's incarnation number.
+#[derive(Debug)]
+pub struct Membership {
+    pub(super) settings: MembershipSettings,
+    pub(super) rng: Pcg64Mcg,
+    pub(super) own: MemberRecord,
+    pub(super) has_left: bool,
+    pub(super) table: MemberTable,
+    pub(super) spreading: Spreading,
+    pub(super) exchange: Exchange,
+    pub(super) probes: Vec<Probe>,
+    pub(super) relays: Vec<Relay>,
+    pub(super) next_probe_ms: u64,
+    pub(super) next_reprobe_ms: u64,
+    pub(super) health: LocalHealth,
+    pub(super) counts: Counts,
+    highest_revision: u64,
+    sequence: u32,
+    last_event_ms: u64,
+    next_forget_ms: u64,
+    pub(super) actions: Vec<Action>,
+    pub(super) changed: Vec<Member>,
+}
+
+/// Period at which outdated members and tombstones are dropped.
+const FORGET_INTERVAL_MS: u64 = 1_000;
+
+impl Membership {
+    /// Creates the state of a node that knows only itself and its seeds. All first times are random
+    /// so that nodes that start together do not act in step.
+    pub fn new(settings: MembershipSettings, own: MemberRecord, seed: u64, now_ms: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let health =
+            LocalHealth::new(settings.max_health_score, settings.mechanisms.has_local_health);
+        let mut within = |period_ms: u64| now_ms + rng.random_range(0..period_ms.max(1));
+        let next_probe_ms = within(settings.probe_interval_ms);
+        let next_reprobe_ms = within(settings.reprobe_interval_ms);
+        let spreading = Spreading::new(within(settings.gossip_interval_ms), &settings, now_ms);
+        let exchange = Exchange::new(
+            now_ms,
+            within(settings.full_exchange_interval_ms) + settings.join_retry_ms,
+            within(settings.seed_contact_interval_ms) + settings.join_retry_ms,
+        );
+        Self {
+            rng,
+            table: MemberTable::new(&own.data_centre),
+            highest_revision: own.revision,
+            own,
+            has_left: false,
+            spreading,
+            exchange,
+            probes: Vec::new(),
+            relays: Vec::new(),
+            next_probe_ms,
+            next_reprobe_ms,
+            health,
+            counts: Counts::default(),
+            sequence: 0,
+            last_event_ms: now_ms,
+            next_forget_ms: now_ms,
+            actions: Vec::new(),
+            changed: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Handles one event. `now_ms` is monotonic, from an arbitrary origin.
+    pub fn step(&mut self, event: Event, now_ms: u64) -> Vec<Action> {
+        self.notice_pause(now_ms);
+        match event {
+            Event::Tick => self.tick(now_ms),
+            Event::Receive(from, datagram) => self.receive(from, datagram, now_ms),
+            Event::LocalChange { service, state, revision } => {
+                self.change_own(service, state, revision, now_ms);
+            }
+            Event::FullState(records) => self.merge_full_state(records, now_ms),
+            Event::Leave => self.leave(now_ms),
+        }
+        if !self.changed.is_empty() {
+            let changed = std::mem::take(&mut self.changed);
+            self.actions.push(Action::Changed(changed));
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Record of the own node.
+    pub fn own(&self) -> &MemberRecord {
+        &self.own
+    }
+
+    /// Records of the own node and all reachable members.
+    pub fn reachable(&self) -> Vec<MemberRecord> {
+        let others = self.table.iter().filter(|e| e.status.is_reachable());
+        std::iter::once(&self.own).chain(others.map(|e| &e.record)).cloned().collect()
+    }
+
+    /// Records of members that are unreachable, or dead and not yet forgotten.
+    pub fn lost(&self) -> Vec<MemberRecord> {
+        let lost = self.table.iter().filter(|e| !e.status.is_reachable());
+        lost.map(|e| e.record.clone()).collect()
+    }
+
+    /// Belief about a member; none if it is unknown or forgotten.
+    pub fn status_of(&self, instance: InstanceId) -> Option<MemberStatus> {
+        if let Some(tombstone) = self.table.tombstones.get(&instance) {
+            let has_left = tombstone.has_left;
+            return Some(if has_left { MemberStatus::Left } else { MemberStatus::Dead });
+        }
+        self.table.entry(instance).map(|entry| entry.status)
+    }
+
+    /// Newest known record of another member.
+    pub fn record_of(&self, instance: InstanceId) -> Option<&MemberRecord> {
+        self.table.entry(instance).map(|entry| &entry.record)
+    }
+
+    /// Number of reachable members, with the own node.
+    pub fn reachable_count(&self) -> usize {
+        self.table.reachable_count() + 1
+    }
+
+    /// Highest catalogue revision that any member is known to have reached. A restarted node must
+    /// reach it before it serves callers.
+    pub fn highest_known_revision(&self) -> u64 {
+        self.highest_revision
+    }
+
+    /// Whether a seed has answered, or there is none to ask.
+    pub fn has_joined(&self) -> bool {
+        self.exchange.has_joined || self.seeds().next().is_none()
+    }
+
+    /// Whether no update waits to be sent.
+    pub fn is_quiet(&self) -> bool {
+        self.spreading.queue.is_empty()
+    }
+
+    /// Counters since start.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Local health score; zero is healthy.
+    pub fn health_score(&self) -> u32 {
+        self.health.score()
+    }
+
+    /// The settings in use.
+    pub fn settings(&self) -> &MembershipSettings {
+        &self.settings
+    }
+
+    fn tick(&mut self, now_ms: u64) {
+        if self.has_left {
+            self.spread(now_ms);
+            return;
+        }
+        self.advance_probes(now_ms);
+        self.expire_suspicions(now_ms);
+        self.start_probes(now_ms);
+        self.spread(now_ms);
+        self.advance_exchange(now_ms);
+        if now_ms >= self.next_forget_ms {
+            self.next_forget_ms = now_ms + FORGET_INTERVAL_MS;
+            self.forget(now_ms);
+        }
+    }
+
+    /// Shifts every deadline by the length of a pause: answers and refutations that arrived in it
+    /// are still in the socket's buffer, and must be read before anybody is accused.
+    fn notice_pause(&mut self, now_ms: u64) {
+        let gap_ms = now_ms.saturating_sub(self.last_event_ms);
+        self.last_event_ms = self.last_event_ms.max(now_ms);
+        let is_pause = gap_ms > self.settings.pause_threshold_ms;
+        if !is_pause || !self.settings.mechanisms.has_local_health {
+            return;
+        }
+        self.counts.pauses += 1;
+        self.health.worsen(1);
+        self.postpone_probes(gap_ms);
+        for id in self.table.suspects.clone() {
+            if let Some(entry) = self.table.entry_mut(id) {
+                entry.suspicion.iter_mut().for_each(|suspicion| suspicion.postpone(gap_ms));
+            }
+        }
+    }
+
+    fn receive(&mut self, from: SocketAddr, datagram: Datagram, now_ms: u64) {
+        let Datagram { header, body, updates } = datagram;
+        if header.instance == self.own.instance || self.has_left {
+            return;
+        }
+        self.learn_revision(header.highest_revision.max(header.revision), now_ms);
+        self.merge_member_revision(header.instance, header.revision);
+        if matches!(body, Body::Page { .. }) {
+            self.merge_page(updates, now_ms);
+        } else {
+            updates.into_iter().for_each(|update| self.merge(update, now_ms));
+        }
+        match body {
+            Body::Ping { sequence, target } => self.answer_ping(from, &header, sequence, target),
+            Body::PingRequest { sequence, target, address } => {
+                self.relay_ping(from, sequence, target, address, now_ms);
+            }
+            Body::Ack { sequence, responder } => self.take_ack(sequence, responder, now_ms),
+            Body::Nack { sequence } => self.take_nack(sequence),
+            Body::Gossip => {}
+            Body::Pull { sequence, after } => self.answer_pull(from, sequence, after),
+            Body::Page { sequence, next } => self.take_page(from, &header, sequence, next, now_ms),
+        }
+    }
+
+    fn change_own(&mut self, service: String, state: BackendState, revision: u64, now_ms: u64) {
+        if self.has_left {
+            return;
+        }
+        let has_new_service = service != self.own.service;
+        let is_state_change = has_new_service || state != self.own.state;
+        let is_revision_change = revision > self.own.revision;
+        if is_revision_change {
+            self.own.revision = revision;
+            self.learn_revision(revision, now_ms);
+        }
+        if is_state_change {
+            self.own.service = service;
+            self.own.state = state;
+            self.own.version = (self.own.version + 1).min(crate::FINAL_VERSION - 1);
+            self.spreading.queue.push(self.own.instance, Urgency::State, has_new_service);
+            self.spread_at_once(now_ms);
+        }
+        if is_state_change || is_revision_change {
+            self.note_change(self.own.instance);
+        }
+    }
+
+    fn leave(&mut self, now_ms: u64) {
+        if !self.has_left {
+            self.has_left = true;
+            self.spreading.queue.push(self.own.instance, Urgency::State, false);
+            self.spread_at_once(now_ms);
+        }
+    }
+
+    fn forget(&mut self, now_ms: u64) {
+        self.table.tombstones.retain(|_, tombstone| tombstone.until_ms > now_ms);
+        let settings = &self.settings;
+        let is_old = |status: MemberStatus, age_ms: u64| match status {
+            MemberStatus::Dead => age_ms >= settings.tombstone_ms,
+            MemberStatus::Unreachable => age_ms >= settings.unreachable_keep_ms,
+            _ => false,
+        };
+        if self.table.lost.is_empty() {
+            return;
+        }
+        let entries = self.table.iter().filter(|e| is_old(e.status, now_ms - e.since_ms));
+        let old: Vec<InstanceId> = entries.map(|e| e.record.instance).collect();
+        for id in old {
+            self.table.remove(id);
+        }
+    }
+
+    /// Notes a revision that some member knows; it never goes down.
+    pub(super) fn learn_revision(&mut self, revision: u64, now_ms: u64) {
+        if revision > self.highest_revision {
+            self.highest_revision = revision;
+            let transmits = self.max_transmits();
+            self.spreading.spread_revision(transmits, now_ms);
+        }
+    }
+
+    pub(super) fn next_sequence(&mut self) -> u32 {
+        self.sequence = self.sequence.wrapping_add(1);
+        self.sequence
+    }
+
+    pub(super) fn random_between(&mut self, from: u64, to: u64) -> u64 {
+        self.rng.random_range(from..=to.max(from))
+    }
+
+    /// A period drawn between half and one and a half of its mean.
+    pub(super) fn jittered(&mut self, mean_ms: u64) -> u64 {
+        self.random_between(mean_ms / 2, mean_ms + mean_ms / 2)
+    }
+
+    pub(super) fn send(&mut self, to: SocketAddr, body: Body, updates: Vec<Update>) {
+        let header = Header {
+            instance: self.own.instance,
+            revision: self.own.revision,
+            highest_revision: self.highest_revision,
+        };
+        self.actions.push(Action::Send(to, Datagram { header, body, updates }));
+    }
+
+    /// Adds a member to the list of changes of this step.
+    pub(super) fn note_change(&mut self, id: InstanceId) {
+        if id == self.own.instance {
+            let status = if self.has_left { MemberStatus::Left } else { MemberStatus::Alive };
+            self.changed.push(Member { record: self.own.clone(), status });
+        } else if let Some(entry) = self.table.entry(id) {
+            self.changed.push(Member { record: entry.record.clone(), status: entry.status });
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/protocol/probing.rs
@@ -0,0 +1,285 @@
+use std::net::SocketAddr;
+
+use rand::Rng;
+use tarragon_model::identity::InstanceId;
+
+use crate::message::Body;
+use crate::message::Header;
+use crate::message::Update;
+use crate::message::FINAL_VERSION;
+use crate::protocol::MemberStatus;
+use crate::protocol::Membership;
+
+/// Probes for other members that a node works on at a time, which bounds memory.
+const MAX_RELAYS: usize = 256;
+
+/// A probe without an answer yet.
+#[derive(Debug, Clone)]
+pub(super) struct Probe {
+    target: InstanceId,
+    sequence: u32,
+    started_ms: u64,
+    resend_ms: u64,
+    has_asked_others: bool,
+    helpers: u32,
+    nacks: u32,
+}
+
+/// A probe made for another member.
+#[derive(Debug, Clone)]
+pub(super) struct Relay {
+    own_sequence: u32,
+    asked_by: SocketAddr,
+    sequence: u32,
+    target: InstanceId,
+    nack_ms: u64,
+    has_sent_nack: bool,
+    end_ms: u64,
+}
+
+impl Membership {
+    /// Starts the probe that is due, and now and then one of a lost member.
+    pub(super) fn start_probes(&mut self, now_ms: u64) {
+        if now_ms >= self.next_probe_ms {
+            self.next_probe_ms = now_ms + self.health.scale_ms(self.settings.probe_interval_ms);
+            if let Some(target) = self.next_probe_target() {
+                self.start_probe(target, now_ms);
+            }
+        }
+        if now_ms >= self.next_reprobe_ms {
+            self.next_reprobe_ms = now_ms + self.jittered(self.settings.reprobe_interval_ms);
+            if let Some(target) = self.table.lost.next(&mut self.rng) {
+                let sequence = self.next_sequence();
+                self.send_ping(target, sequence);
+            }
+        }
+    }
+
+    fn next_probe_target(&mut self) -> Option<InstanceId> {
+        let is_remote = self.rng.random_bool(self.settings.remote_probe_share.clamp(0.0, 1.0));
+        let table = &mut self.table;
+        let goes_remote = table.local.is_empty() || is_remote && !table.remote.is_empty();
+        if goes_remote {
+            table.remote.next(&mut self.rng)
+        } else {
+            table.local.next(&mut self.rng)
+        }
+    }
+
+    fn start_probe(&mut self, target: InstanceId, now_ms: u64) {
+        if self.probes.iter().any(|probe| probe.target == target) {
+            return;
+        }
+        let sequence = self.next_sequence();
+        self.counts.probes += 1;
+        self.probes.push(Probe {
+            target,
+            sequence,
+            started_ms: now_ms,
+            resend_ms: now_ms + self.settings.probe_resend_ms,
+            has_asked_others: false,
+            helpers: 0,
+            nacks: 0,
+        });
+        self.send_ping(target, sequence);
+    }
+
+    /// Pings a member. It is told first if it is suspected or lost, so that it can refute at once
+    /// (Lifeguard, "buddy system").
+    fn send_ping(&mut self, target: InstanceId, sequence: u32) {
+        let Some(entry) = self.table.entry(target) else { return };
+        let address = entry.record.gossip_address;
+        let is_accused = entry.status != MemberStatus::Alive;
+        let accusation = is_accused.then(|| self.update_of(target, false)).flatten();
+        let updates = self.piggyback(accusation.into_iter().collect());
+        self.send(address, Body::Ping { sequence, target }, updates);
+    }
+
+    /// Repeats, hands to other members, or fails the probes without an answer.
+    pub(super) fn advance_probes(&mut self, now_ms: u64) {
+        let indirect_after_ms = self.health.scale_ms(self.settings.indirect_after_ms);
+        let timeout_ms = self.health.scale_ms(self.settings.probe_timeout_ms);
+        let probes = std::mem::take(&mut self.probes);
+        for mut probe in probes {
+            let age_ms = now_ms.saturating_sub(probe.started_ms);
+            if age_ms >= timeout_ms {
+                self.fail_probe(&probe, now_ms);
+                continue;
+            }
+            if now_ms >= probe.resend_ms {
+                probe.resend_ms = now_ms + self.settings.probe_resend_ms;
+                self.send_ping(probe.target, probe.sequence);
+            }
+            if age_ms >= indirect_after_ms && !probe.has_asked_others {
+                probe.has_asked_others = true;
+                probe.helpers = self.ask_others(&probe);
+            }
+            self.probes.push(probe);
+        }
+        self.advance_relays(now_ms);
+    }
+
+    fn ask_others(&mut self, probe: &Probe) -> u32 {
+        if !self.settings.mechanisms.has_indirect_probes {
+            return 0;
+        }
+        let Some(entry) = self.table.entry(probe.target) else { return 0 };
+        let body = Body::PingRequest {
+            sequence: probe.sequence,
+            target: probe.target,
+            address: entry.record.gossip_address,
+        };
+        let mut helpers = Vec::new();
+        // Half of the helpers come from other data centres if there are any, so that a fault of
+        // the own data centre's network does not look like one of the target.
+        for attempt in 0..self.settings.indirect_probes * 2 {
+            let (local, remote) = (&self.table.local, &self.table.remote);
+            let (first, second) = if attempt % 2 == 0 { (local, remote) } else { (remote, local) };
+            let choice = first.choose(&mut self.rng).or_else(|| second.choose(&mut self.rng));
+            let Some(helper) = choice else { break };
+            if helper != probe.target && !helpers.contains(&helper) {
+                helpers.push(helper);
+            }
+            if helpers.len() >= self.settings.indirect_probes {
+                break;
+            }
+        }
+        for helper in &helpers {
+            if let Some(address) = self.table.entry(*helper).map(|e| e.record.gossip_address) {
+                let updates = self.piggyback(Vec::new());
+                self.send(address, body, updates);
+            }
+        }
+        helpers.len() as u32
+    }
+
+    fn fail_probe(&mut self, probe: &Probe, now_ms: u64) {
+        self.counts.failed_probes += 1;
+        // Helpers that sent not even a nack point to a fault of the own node or its network.
+        let is_own_fault = probe.helpers > 0 && probe.nacks < probe.helpers;
+        self.health.worsen(if is_own_fault { probe.helpers - probe.nacks } else { 1 });
+        let Some(entry) = self.table.entry(probe.target) else { return };
+        if entry.status.is_reachable() {
+            let version = entry.status_version;
+            if entry.status == MemberStatus::Alive {
+                self.counts.suspicions += 1;
+            }
+            self.suspect(probe.target, version, self.accuser(), now_ms);
+        }
+    }
+
+    pub(super) fn postpone_probes(&mut self, gap_ms: u64) {
+        for probe in &mut self.probes {
+            probe.started_ms += gap_ms;
+            probe.resend_ms += gap_ms;
+        }
+        for relay in &mut self.relays {
+            relay.nack_ms += gap_ms;
+            relay.end_ms += gap_ms;
+        }
+    }
+
+    /// Answers a ping, also one for an earlier instance at this address, which is gone then.
+    pub(super) fn answer_ping(
+        &mut self,
+        from: SocketAddr,
+        header: &Header,
+        sequence: u32,
+        target: InstanceId,
+    ) {
+        let mut directed = Vec::new();
+        if target != self.own.instance {
+            directed.push(Update::Dead { instance: target, version: FINAL_VERSION });
+            directed.push(Update::Full(self.own.clone()));
+        } else if self.has_news_of_own() {
+            directed.push(Update::brief(&self.own));
+        }
+        directed.extend(self.belief_about(header.instance));
+        let updates = self.piggyback(directed);
+        self.send(from, Body::Ack { sequence, responder: self.own.instance }, updates);
+    }
+
+    fn has_news_of_own(&self) -> bool {
+        self.spreading.queue.iter().any(|(id, _)| id == self.own.instance)
+    }
+
+    /// What a sender must hear about itself: that it is unknown, suspected or lost here.
+    fn belief_about(&self, sender: InstanceId) -> Option<Update> {
+        match self.status_of(sender) {
+            None => Some(Update::Unknown { instance: sender }),
+            Some(MemberStatus::Alive | MemberStatus::Left) => None,
+            Some(_) => self.update_of(sender, false),
+        }
+    }
+
+    pub(super) fn relay_ping(
+        &mut self,
+        from: SocketAddr,
+        sequence: u32,
+        target: InstanceId,
+        address: SocketAddr,
+        now_ms: u64,
+    ) {
+        if target == self.own.instance {
+            self.send(from, Body::Ack { sequence, responder: target }, Vec::new());
+            return;
+        }
+        if self.relays.len() >= MAX_RELAYS {
+            return;
+        }
+        let own_sequence = self.next_sequence();
+        let span_ms =
+            self.settings.probe_timeout_ms.saturating_sub(self.settings.indirect_after_ms);
+        self.relays.push(Relay {
+            own_sequence,
+            asked_by: from,
+            sequence,
+            target,
+            nack_ms: now_ms + span_ms / 2,
+            has_sent_nack: false,
+            end_ms: now_ms + span_ms * 2,
+        });
+        self.send(address, Body::Ping { sequence: own_sequence, target }, Vec::new());
+    }
+
+    fn advance_relays(&mut self, now_ms: u64) {
+        self.relays.retain(|relay| relay.end_ms > now_ms);
+        let mut nacks = Vec::new();
+        for relay in &mut self.relays {
+            if now_ms >= relay.nack_ms && !relay.has_sent_nack {
+                relay.has_sent_nack = true;
+                nacks.push((relay.asked_by, relay.sequence));
+            }
+        }
+        for (to, sequence) in nacks {
+            self.send(to, Body::Nack { sequence }, Vec::new());
+        }
+    }
+
+    /// Takes an answer to an own probe, or passes one on to the member that asked for it.
+    pub(super) fn take_ack(&mut self, sequence: u32, responder: InstanceId, now_ms: u64) {
+        if let Some(at) = self.probes.iter().position(|probe| probe.sequence == sequence) {
+            let probe = self.probes.remove(at);
+            self.health.improve();
+            if responder != probe.target {
+                self.bury(probe.target, false, now_ms);
+            }
+            return;
+        }
+        if let Some(at) = self.relays.iter().position(|relay| relay.own_sequence == sequence) {
+            let relay = self.relays.remove(at);
+            let mut updates = Vec::new();
+            if responder != relay.target {
+                updates.push(Update::Dead { instance: relay.target, version: FINAL_VERSION });
+                updates.extend(self.update_of(responder, true));
+            }
+            self.send(relay.asked_by, Body::Ack { sequence: relay.sequence, responder }, updates);
+        }
+    }
+
+    pub(super) fn take_nack(&mut self, sequence: u32) {
+        if let Some(probe) = self.probes.iter_mut().find(|probe| probe.sequence == sequence) {
+            probe.nacks += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/protocol/spreading.rs
@@ -0,0 +1,180 @@
+use tarragon_model::identity::InstanceId;
+use tarragon_model::member::MemberRecord;
+
+use crate::message::Body;
+use crate::message::Update;
+use crate::message::UPDATES_BUDGET_BYTES;
+use crate::protocol::suspicion::Suspicion;
+use crate::protocol::update_queue::UpdateQueue;
+use crate::protocol::MemberStatus;
+use crate::protocol::Membership;
+use crate::settings::MembershipSettings;
+
+/// Share of a probe datagram that piggybacked updates may fill.
+const PIGGYBACK_BUDGET_BYTES: usize = 300;
+
+/// Envelope, header, body and UDP/IP headers of a datagram, for the rate limit.
+const OVERHEAD_BYTES: u64 = 90;
+
+/// Updates to spread and the rate at which that is done.
+#[derive(Debug)]
+pub(super) struct Spreading {
+    pub queue: UpdateQueue,
+    next_ms: u64,
+    /// Rounds in which datagrams are sent for the sake of the revision in their header alone.
+    revision_transmits: u32,
+    /// Bytes that may be sent now; piggybacked updates may take it below zero.
+    allowance_bytes: i64,
+    refilled_ms: u64,
+}
+
+impl Spreading {
+    pub fn new(next_ms: u64, settings: &MembershipSettings, now_ms: u64) -> Self {
+        Self {
+            queue: UpdateQueue::default(),
+            next_ms,
+            revision_transmits: 0,
+            allowance_bytes: settings.gossip_burst_bytes as i64,
+            refilled_ms: now_ms,
+        }
+    }
+
+    /// Starts sending the new highest revision, which would travel only with probes otherwise.
+    pub fn spread_revision(&mut self, transmits: u32, now_ms: u64) {
+        if self.revision_transmits == 0 {
+            self.next_ms = self.next_ms.min(now_ms);
+        }
+        self.revision_transmits = transmits;
+    }
+
+    fn refill(&mut self, settings: &MembershipSettings, now_ms: u64) {
+        let passed_ms = now_ms.saturating_sub(self.refilled_ms);
+        let added = passed_ms * settings.gossip_bytes_per_s / 1_000;
+        self.allowance_bytes =
+            (self.allowance_bytes + added as i64).min(settings.gossip_burst_bytes as i64);
+        self.refilled_ms = now_ms;
+    }
+}
+
+impl Membership {
+    /// Transmissions of one update: enough that an update misses a member only rarely, see the
+    /// SWIM paper, section 4.1 (a multiple of the logarithm of the cluster size).
+    pub(super) fn max_transmits(&self) -> u32 {
+        let decades = ((self.table.reachable_count() + 2) as f64).log10().max(1.0);
+        (f64::from(self.settings.retransmit_factor) * decades).ceil() as u32
+    }
+
+    pub(super) fn spread_at_once(&mut self, now_ms: u64) {
+        self.spreading.next_ms = now_ms;
+        self.spread(now_ms);
+    }
+
+    /// Sends a round of gossip if one is due. Two of three datagrams stay in the own data centre,
+    /// because the links between data centres cost more.
+    pub(super) fn spread(&mut self, now_ms: u64) {
+        let has_news = !self.spreading.queue.is_empty() || self.spreading.revision_transmits > 0;
+        if !has_news || now_ms < self.spreading.next_ms {
+            return;
+        }
+        self.spreading.next_ms = now_ms + self.settings.gossip_interval_ms;
+        self.spreading.refill(&self.settings, now_ms);
+        for round in 0..self.settings.gossip_fanout {
+            if self.spreading.allowance_bytes <= 0 {
+                return;
+            }
+            let prefers_remote = round % 3 == 2;
+            let Some(target) = self.gossip_target(prefers_remote) else { return };
+            let updates = self.next_updates(UPDATES_BUDGET_BYTES, &[]);
+            if updates.is_empty() && self.spreading.revision_transmits == 0 {
+                return;
+            }
+            self.spreading.revision_transmits = self.spreading.revision_transmits.saturating_sub(1);
+            if let Some(entry) = self.table.entry(target) {
+                let address = entry.record.gossip_address;
+                self.send(address, Body::Gossip, updates);
+            }
+        }
+    }
+
+    fn gossip_target(&mut self, prefers_remote: bool) -> Option<InstanceId> {
+        let (local, remote) = (&self.table.local, &self.table.remote);
+        let (first, second) = if prefers_remote { (remote, local) } else { (local, remote) };
+        first.choose(&mut self.rng).or_else(|| second.choose(&mut self.rng))
+    }
+
+    /// Updates to piggyback on a probe or its answer, after updates meant for the receiver.
+    pub(super) fn piggyback(&mut self, directed: Vec<Update>) -> Vec<Update> {
+        self.next_updates(PIGGYBACK_BUDGET_BYTES, &directed).into_iter().chain(directed).collect()
+    }
+
+    fn next_updates(&mut self, budget_bytes: usize, directed: &[Update]) -> Vec<Update> {
+        let mut free_bytes = budget_bytes.min(UPDATES_BUDGET_BYTES);
+        free_bytes -= directed.iter().map(Update::size_bytes).sum::<usize>().min(free_bytes);
+        let mut updates = Vec::new();
+        let mut taken = Vec::new();
+        for (id, is_full) in self.spreading.queue.iter() {
+            let Some(update) = self.update_of(id, is_full) else {
+                taken.push((id, 0));
+                continue;
+            };
+            let size_bytes = update.size_bytes();
+            if size_bytes > free_bytes {
+                break;
+            }
+            free_bytes -= size_bytes;
+            taken.push((id, size_bytes));
+            updates.push(update);
+        }
+        let max_transmits = self.max_transmits();
+        let mut sent_bytes = OVERHEAD_BYTES as i64;
+        for (id, size_bytes) in taken {
+            // An update without content is about a forgotten member and is dropped.
+            let limit = if size_bytes == 0 { 0 } else { max_transmits };
+            self.spreading.queue.sent(id, limit);
+            sent_bytes += size_bytes as i64;
+        }
+        self.spreading.allowance_bytes -= sent_bytes;
+        updates
+    }
+
+    /// The present news about a member.
+    pub(super) fn update_of(&self, id: InstanceId, is_full: bool) -> Option<Update> {
+        let alive = |record: &MemberRecord| {
+            if is_full {
+                Update::Full(record.clone())
+            } else {
+                Update::brief(record)
+            }
+        };
+        if id == self.own.instance {
+            return Some(if self.has_left {
+                Update::Left { instance: id }
+            } else {
+                alive(&self.own)
+            });
+        }
+        if let Some(tombstone) = self.table.tombstones.get(&id) {
+            return Some(if tombstone.has_left {
+                Update::Left { instance: id }
+            } else {
+                Update::Dead { instance: id, version: crate::FINAL_VERSION }
+            });
+        }
+        let entry = self.table.entry(id)?;
+        let version = entry.status_version;
+        Some(match entry.status {
+            MemberStatus::Alive => alive(&entry.record),
+            MemberStatus::Suspect => {
+                let accuser = entry.suspicion.as_ref().map_or(0, Suspicion::last_accuser);
+                Update::Suspect { instance: id, version, accuser }
+            }
+            MemberStatus::Unreachable => Update::Unreachable { instance: id, version },
+            MemberStatus::Dead | MemberStatus::Left => Update::Dead { instance: id, version },
+        })
+    }
+
+    /// The own name in accusations.
+    pub(super) fn accuser(&self) -> u16 {
+        self.own.instance.0 as u16
+    }
+}
