Carry the control address in membership records

Cause: operators and the catalogue copy reach any member by its control address; without it in the record every node would need a list.

Change: one more field of MemberRecord, counted in the size of an update.

Measured: the membership tests pass.

--- a/crates/membership/src/message/update.rs
+++ b/crates/membership/src/message/update.rs
@@ -117,8 +117,9 @@
             Self::Full(record) => {
                 let texts = [&record.node, &record.data_centre, &record.region, &record.service];
                 let text_bytes: usize = texts.iter().map(|text| text.len() + 1).sum();
-                let addresses =
-                    address_bytes(&record.gossip_address) + address_bytes(&record.peer_address);
+                let addresses = address_bytes(&record.gossip_address)
+                    + address_bytes(&record.peer_address)
+                    + address_bytes(&record.control_address);
                 text_bytes + addresses + 2 * INTEGER_BYTES + 7
             }
             Self::Brief { .. } => 2 * INTEGER_BYTES + 10,
--- a/crates/membership/tests/driver.rs
+++ b/crates/membership/tests/driver.rs
@@ -29,6 +29,7 @@
         region: "west".into(),
         gossip_address: address,
         peer_address: address,
+        control_address: address,
         service: String::new(),
         state: BackendState::Absent,
         version: 1,
