Carry the replica address in membership records; add the membership service

Cause: a control replica that joins later is in no node's settings, so others must learn its address from membership.

Change: an optional field of MemberRecord; the daemon's membership service, which tells the members about the backend server and the catalogue revision and publishes what it learns.

--- a/crates/membership/src/message/update.rs
+++ b/crates/membership/src/message/update.rs
@@ -119,7 +119,9 @@
                 let text_bytes: usize = texts.iter().map(|text| text.len() + 1).sum();
                 let addresses = address_bytes(&record.gossip_address)
                     + address_bytes(&record.peer_address)
-                    + address_bytes(&record.control_address);
+                    + address_bytes(&record.control_address)
+                    + 1
+                    + record.replica_address.as_ref().map_or(0, address_bytes);
                 text_bytes + addresses + 2 * INTEGER_BYTES + 7
             }
             Self::Brief { .. } => 2 * INTEGER_BYTES + 10,
--- a/crates/membership/tests/driver.rs
+++ b/crates/membership/tests/driver.rs
@@ -30,6 +30,7 @@
         gossip_address: address,
         peer_address: address,
         control_address: address,
+        replica_address: None,
         service: String::new(),
         state: BackendState::Absent,
         version: 1,
--- a/crates/model/src/member/member_record.rs
+++ b/crates/model/src/member/member_record.rs
@@ -26,6 +26,8 @@
     pub peer_address: SocketAddr,
     /// TCP address of the control API.
     pub control_address: SocketAddr,
+    /// TCP address between control replicas; none on a node without a replica.
+    pub replica_address: Option<SocketAddr>,
     /// Service of the node's backend server, empty if there is none.
     pub service: String,
     /// State of the node's backend server.
--- a/crates/tarragond/src/control/api/internal.rs
+++ b/crates/tarragond/src/control/api/internal.rs
@@ -59,6 +59,16 @@
     sealed(context, &catalogue.changes_since(query.into_inner().since))
 }
 
+/// All members that this node knows, for another node.
+#[endpoint { method = GET, path = "/v1/members/full" }]
+pub async fn full_members(
+    request: RequestContext<Arc<ApiContext>>,
+) -> Result<HttpResponseOk<FreeformBody>, HttpError> {
+    let context = request.context();
+    let members = context.directory.members().borrow().clone();
+    sealed(context, members.as_ref())
+}
+
 fn sealed<T: Serialize>(
     context: &ApiContext,
     message: &T,
--- a/crates/tarragond/src/control/api/server.rs
+++ b/crates/tarragond/src/control/api/server.rs
@@ -78,7 +78,8 @@
         .and_then(|()| api.register(view::list_services))
         .and_then(|()| api.register(view::list_members))
         .and_then(|()| api.register(internal::control_request))
-        .and_then(|()| api.register(internal::catalogue_changes));
+        .and_then(|()| api.register(internal::catalogue_changes))
+        .and_then(|()| api.register(internal::full_members));
     registered.expect("no two endpoints share a method and a path");
     api
 }
--- a/crates/tarragond/src/lib.rs
+++ b/crates/tarragond/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod conf;
 pub mod control;
 pub mod directory;
+pub mod members;
--- /dev/null
+++ b/crates/tarragond/src/members/membership_service.rs
@@ -0,0 +1,151 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use error_stack::Report;
+use error_stack::ResultExt;
+use tarragon_kernel::Kernel;
+use tarragon_kernel::KernelError;
+use tarragon_kernel::Service;
+use tarragon_membership::Driver;
+use tarragon_membership::Membership;
+use tarragon_membership::MembershipHandle;
+use tarragon_membership::MembershipSettings;
+use tarragon_model::catalogue::Catalogue;
+use tarragon_model::member::MemberRecord;
+use tarragon_wire::DeploymentKey;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::backend::BackendStatus;
+use crate::members::ControlFullState;
+
+/// Time between checks for what only time changes in the own backend server, in ms.
+const LOCAL_CHECK_INTERVAL_MS: u64 = 1_000;
+
+/// What the membership service works with.
+pub struct MembershipServiceParts {
+    /// Record of this node.
+    pub own: MemberRecord,
+    /// Settings of the protocol.
+    pub settings: MembershipSettings,
+    /// Secret of the nodes.
+    pub deployment_key: DeploymentKey,
+    /// Where the list of members is published.
+    pub members: watch::Sender<Arc<Vec<MemberRecord>>>,
+    /// Where the highest revision heard of is published.
+    pub wanted: watch::Sender<u64>,
+    /// The node's own backend server.
+    pub backend: watch::Receiver<BackendStatus>,
+    /// The node's copy of the catalogue.
+    pub catalogue: watch::Receiver<Arc<Catalogue>>,
+}
+
+/// Runs the membership protocol and connects it to the rest of the node.
+pub struct MembershipService {
+    driver: std::sync::Mutex<Option<Driver>>,
+    handle: MembershipHandle,
+    members: watch::Sender<Arc<Vec<MemberRecord>>>,
+    wanted: watch::Sender<u64>,
+    backend: watch::Receiver<BackendStatus>,
+    catalogue: watch::Receiver<Arc<Catalogue>>,
+}
+
+impl MembershipService {
+    /// Binds the UDP socket.
+    ///
+    /// # Errors
+    /// The address cannot be bound.
+    pub async fn bind(parts: MembershipServiceParts) -> Result<Self, Report<KernelError>> {
+        let address = parts.own.gossip_address;
+        let socket = UdpSocket::bind(address).await.change_context_lazy(|| {
+            KernelError::ServiceFailed(format!("membership at {address}"))
+        })?;
+        let key = parts.deployment_key;
+        let source = ControlFullState::new(parts.members.subscribe(), key.clone());
+        let seed = parts.own.instance.0;
+        let membership = Membership::new(parts.settings, parts.own, seed, 0);
+        let (driver, handle) = Driver::new(socket, key, membership, Some(Arc::new(source)));
+        parts.members.send_replace(handle.members());
+        Ok(Self {
+            driver: std::sync::Mutex::new(Some(driver)),
+            handle,
+            members: parts.members,
+            wanted: parts.wanted,
+            backend: parts.backend,
+            catalogue: parts.catalogue,
+        })
+    }
+
+    /// Access to the membership of this node.
+    pub fn handle(&self) -> &MembershipHandle {
+        &self.handle
+    }
+
+    /// Publishes what the protocol learns.
+    async fn publish_changes(&self) {
+        let mut handle = self.handle.clone();
+        while handle.changed().await {
+            self.members.send_if_modified(|present| {
+                let next = handle.members();
+                let is_changed = !Arc::ptr_eq(present, &next);
+                *present = next;
+                is_changed
+            });
+            self.wanted.send_if_modified(|present| {
+                let next = handle.highest_known_revision();
+                let is_changed = next > *present;
+                *present = next.max(*present);
+                is_changed
+            });
+        }
+    }
+
+    /// Tells the members about this node's backend server and catalogue.
+    async fn tell_changes(&self) {
+        let mut backend = self.backend.clone();
+        let mut catalogue = self.catalogue.clone();
+        let interval = Duration::from_millis(LOCAL_CHECK_INTERVAL_MS);
+        loop {
+            let status = backend.borrow_and_update().clone();
+            let revision = catalogue.borrow_and_update().revision();
+            self.handle.set_local(&status.service, status.state, revision);
+            tokio::select! {
+                _ = backend.changed() => {}
+                _ = catalogue.changed() => {}
+                () = tokio::time::sleep(interval) => {}
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl Service for MembershipService {
+    fn name(&self) -> &'static str {
+        "membership"
+    }
+
+    async fn run(
+        self: Arc<Self>,
+        _kernel: Arc<Kernel>,
+        stop: CancellationToken,
+    ) -> Result<(), Report<KernelError>> {
+        let driver = self.driver.lock().expect("no holder of the lock panics").take();
+        let driver = driver.expect("the kernel runs a service once");
+        let driver_stop = CancellationToken::new();
+        let leaving = async {
+            stop.cancelled().await;
+            self.handle.leave().await;
+            driver_stop.cancel();
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            () = driver.run(driver_stop.clone()) => {}
+            () = self.publish_changes() => {}
+            () = self.tell_changes() => {}
+            () = leaving => {}
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/tarragond/src/members/mod.rs
@@ -0,0 +1,8 @@
+//! The membership service: tells others about this node and keeps the list of members.
+
+mod full_state;
+mod membership_service;
+
+pub use full_state::ControlFullState;
+pub use membership_service::MembershipService;
+pub use membership_service::MembershipServiceParts;
