Add the replica, its file store and the driver task

Cause: the daemon needs a replicated log to build its control part on. Ruled out: explicit truncate records in the log. A record replaces stored entries of the same and of higher index, so a truncation is always atomic with the entry that caused it. Tests: 3 driver tests pass; the property tests of the replica and of recovery are still to come.

--- /dev/null
+++ b/crates/consensus/src/driver/handle.rs
@@ -0,0 +1,96 @@
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::driver::ProposeError;
+use crate::protocol::Message;
+use crate::protocol::ReplicaId;
+use crate::raft::MemberChange;
+use crate::raft::Status;
+
+/// Result of a request: the state machine's answer, empty for all but proposals.
+pub(super) type Reply = Result<Vec<u8>, ProposeError>;
+
+/// What the task is asked.
+#[derive(Debug)]
+pub(super) enum Input {
+    Receive(Message),
+    Bootstrap(Vec<ReplicaId>),
+    Propose(Vec<u8>, oneshot::Sender<Reply>),
+    Read(oneshot::Sender<Reply>),
+    ChangeMembers(MemberChange, oneshot::Sender<Reply>),
+}
+
+/// Access to a running replica. Clones share the replica.
+#[derive(Debug, Clone)]
+pub struct ReplicaHandle {
+    inputs: mpsc::Sender<Input>,
+    status: watch::Receiver<Status>,
+}
+
+impl ReplicaHandle {
+    pub(super) fn new(inputs: mpsc::Sender<Input>, status: watch::Receiver<Status>) -> Self {
+        Self { inputs, status }
+    }
+
+    /// Logs a command and returns the state machine's answer once it is committed and applied.
+    ///
+    /// # Errors
+    /// See [`ProposeError`]. After `OutcomeUnknown` the command may still take effect.
+    pub async fn propose(&self, command: Vec<u8>) -> Result<Vec<u8>, ProposeError> {
+        let unknown = ProposeError::OutcomeUnknown;
+        self.ask(|reply| Input::Propose(command, reply), unknown).await
+    }
+
+    /// Waits until the local state machine holds all that was committed before the call. It works
+    /// on the leader only.
+    ///
+    /// # Errors
+    /// See [`ProposeError`].
+    pub async fn read_barrier(&self) -> Result<(), ProposeError> {
+        self.ask(Input::Read, ProposeError::NoMajority).await.map(drop)
+    }
+
+    /// Changes one member and returns once the change is committed. It is safe to repeat.
+    ///
+    /// # Errors
+    /// See [`ProposeError`].
+    pub async fn change_members(&self, change: MemberChange) -> Result<(), ProposeError> {
+        let unknown = ProposeError::OutcomeUnknown;
+        self.ask(|reply| Input::ChangeMembers(change, reply), unknown).await.map(drop)
+    }
+
+    /// Starts a new log with these voters. A replica that has state, or is not listed with its
+    /// disk id, ignores this. Call it on one replica only, once in the life of a deployment.
+    pub async fn bootstrap(&self, voters: Vec<ReplicaId>) {
+        let _ = self.inputs.send(Input::Bootstrap(voters)).await;
+    }
+
+    /// Hands in a message from another replica. It is dropped if the task is behind.
+    pub fn receive(&self, message: Message) {
+        let _ = self.inputs.try_send(Input::Receive(message));
+    }
+
+    /// What the replica knows.
+    pub fn status(&self) -> Status {
+        self.status.borrow().clone()
+    }
+
+    /// Follows the status.
+    pub fn watch_status(&self) -> watch::Receiver<Status> {
+        self.status.clone()
+    }
+
+    /// `lost` is the error if the task ends before it answers.
+    async fn ask(
+        &self,
+        input: impl FnOnce(oneshot::Sender<Reply>) -> Input,
+        lost: ProposeError,
+    ) -> Reply {
+        let (reply, answer) = oneshot::channel();
+        if self.inputs.send(input(reply)).await.is_err() {
+            return Err(ProposeError::NoMajority);
+        }
+        answer.await.unwrap_or(Err(lost))
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/protocol/snapshot.rs
@@ -0,0 +1,27 @@
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::protocol::Configuration;
+use crate::protocol::ReplicaId;
+
+/// The term and vote that must survive a restart.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HardState {
+    /// Latest term that the replica has seen.
+    pub term: u64,
+    /// Candidate that it voted for in that term.
+    pub voted_for: Option<ReplicaId>,
+}
+
+/// The state machine's state after the entry at `index`, with what the log needs to go on there.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Last entry that the snapshot contains.
+    pub index: u64,
+    /// Term of that entry.
+    pub term: u64,
+    /// Members after that entry.
+    pub configuration: Configuration,
+    /// The state machine's encoded state.
+    pub data: Vec<u8>,
+}
--- /dev/null
+++ b/crates/consensus/src/raft/log.rs
@@ -0,0 +1,133 @@
+use std::collections::VecDeque;
+
+use crate::protocol::Configuration;
+use crate::protocol::Entry;
+use crate::protocol::Payload;
+use crate::protocol::Snapshot;
+
+/// The entries in memory, behind a base that compaction moves forward.
+#[derive(Debug, Default)]
+pub(super) struct Log {
+    base_index: u64,
+    base_term: u64,
+    base_configuration: Configuration,
+    entries: VecDeque<Entry>,
+}
+
+impl Log {
+    /// The log after a restart.
+    pub(super) fn recovered(snapshot: Option<&Snapshot>, entries: Vec<Entry>) -> Self {
+        let mut log = Self::default();
+        if let Some(snapshot) = snapshot {
+            log.reset(snapshot);
+        }
+        log.entries = entries.into_iter().filter(|e| e.index > log.base_index).collect();
+        log
+    }
+
+    /// Entry before the first one in memory.
+    pub(super) fn base_index(&self) -> u64 {
+        self.base_index
+    }
+
+    pub(super) fn last_index(&self) -> u64 {
+        self.base_index + self.entries.len() as u64
+    }
+
+    pub(super) fn last_term(&self) -> u64 {
+        self.entries.back().map_or(self.base_term, |e| e.term)
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.last_index() == 0
+    }
+
+    fn position(&self, index: u64) -> Option<usize> {
+        usize::try_from(index.checked_sub(self.base_index + 1)?).ok()
+    }
+
+    pub(super) fn entry(&self, index: u64) -> Option<&Entry> {
+        self.entries.get(self.position(index)?)
+    }
+
+    /// Term of an entry; unknown below the base and above the end.
+    pub(super) fn term(&self, index: u64) -> Option<u64> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        self.entry(index).map(|e| e.term)
+    }
+
+    pub(super) fn append(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last_index() + 1, "the log has no gaps");
+        self.entries.push_back(entry);
+    }
+
+    /// Removes the entries from `index` on.
+    pub(super) fn truncate(&mut self, index: u64) {
+        if let Some(position) = self.position(index) {
+            self.entries.truncate(position);
+        }
+    }
+
+    /// Entries from `index` on, up to a size; at least one if there is one.
+    pub(super) fn batch(&self, index: u64, most_bytes: usize) -> Vec<Entry> {
+        let Some(position) = self.position(index) else { return Vec::new() };
+        let mut bytes = 0;
+        let mut batch = Vec::new();
+        for entry in self.entries.iter().skip(position) {
+            bytes += entry.size_bytes();
+            if bytes > most_bytes && !batch.is_empty() {
+                break;
+            }
+            batch.push(entry.clone());
+        }
+        batch
+    }
+
+    /// All entries from `index` on.
+    pub(super) fn tail(&self, index: u64) -> Vec<Entry> {
+        self.batch(index, usize::MAX)
+    }
+
+    /// Members as of an entry, and the entry that set them (0 for the base).
+    pub(super) fn configuration_at(&self, index: u64) -> (Configuration, u64) {
+        let found = self.entries.iter().rev().find_map(|entry| match &entry.payload {
+            Payload::Members(members) if entry.index <= index => {
+                Some((members.clone(), entry.index))
+            }
+            _ => None,
+        });
+        found.unwrap_or_else(|| (self.base_configuration.clone(), 0))
+    }
+
+    /// First index of the run of entries that have the term of `index`, above the base.
+    pub(super) fn first_of_term(&self, index: u64) -> u64 {
+        let Some(term) = self.term(index) else { return index };
+        let mut first = index;
+        while first > self.base_index + 1 && self.term(first - 1) == Some(term) {
+            first -= 1;
+        }
+        first
+    }
+
+    /// Drops the entries up to `index`, which must be in the log.
+    pub(super) fn compact(&mut self, index: u64) {
+        let Some(term) = self.term(index) else { return };
+        let (configuration, _) = self.configuration_at(index);
+        while self.entries.front().is_some_and(|e| e.index <= index) {
+            self.entries.pop_front();
+        }
+        self.base_index = index;
+        self.base_term = term;
+        self.base_configuration = configuration;
+    }
+
+    /// Replaces the whole log by a snapshot.
+    pub(super) fn reset(&mut self, snapshot: &Snapshot) {
+        self.entries.clear();
+        self.base_index = snapshot.index;
+        self.base_term = snapshot.term;
+        self.base_configuration = snapshot.configuration.clone();
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/raft/mod.rs
@@ -0,0 +1,28 @@
+//! The deterministic replica.
+
+mod election;
+mod event;
+mod leadership;
+mod log;
+mod membership;
+mod outbox;
+mod reads;
+mod replica;
+mod replication;
+mod settings;
+mod snapshots;
+
+pub use event::Action;
+pub use event::Answer;
+pub use event::Event;
+pub use event::PersistRequest;
+pub use event::Refusal;
+pub use event::RequestNumber;
+pub use membership::MemberChange;
+pub use replica::Recovered;
+pub use replica::Replica;
+pub use replica::RoleKind;
+pub use replica::Status;
+pub use replica::StopReason;
+pub use settings::Settings;
+pub use settings::Switches;
--- /dev/null
+++ b/crates/consensus/src/raft/replica.rs
@@ -0,0 +1,422 @@
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::protocol::Body;
+use crate::protocol::Configuration;
+use crate::protocol::Entry;
+use crate::protocol::HardState;
+use crate::protocol::Message;
+use crate::protocol::Payload;
+use crate::protocol::ReplicaId;
+use crate::protocol::Snapshot;
+use crate::raft::leadership::Leadership;
+use crate::raft::log::Log;
+use crate::raft::outbox::Outbox;
+use crate::raft::snapshots::IncomingSnapshot;
+use crate::raft::Action;
+use crate::raft::Answer;
+use crate::raft::Event;
+use crate::raft::PersistRequest;
+use crate::raft::RequestNumber;
+use crate::raft::Settings;
+
+/// What storage found at start.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Recovered {
+    /// Term and vote.
+    pub hard_state: HardState,
+    /// Latest snapshot. The shell restores its state machine from it before the first event.
+    pub snapshot: Option<Arc<Snapshot>>,
+    /// Entries after the snapshot.
+    pub entries: Vec<Entry>,
+}
+
+/// Role of a replica, for status and tests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RoleKind {
+    /// Follows a leader, or waits for one.
+    Follower,
+    /// Asks whether it could win an election.
+    PreCandidate,
+    /// Stands for election.
+    Candidate,
+    /// Leads its term.
+    Leader,
+    /// Takes part no more until it is restarted or replaced.
+    Stopped(StopReason),
+}
+
+/// Why a replica stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopReason {
+    /// A write or sync failed. A failed sync is never tried again, because the kernel may have
+    /// dropped the unwritten pages and report success the second time.
+    Storage,
+    /// A leader sent entries that contradict committed ones; going on would spread the damage.
+    CommittedConflict,
+}
+
+/// What a replica knows, for operators and tests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Status {
+    /// The replica.
+    pub id: ReplicaId,
+    /// Its role.
+    pub role: RoleKind,
+    /// Its term.
+    pub term: u64,
+    /// The leader, if known.
+    pub leader: Option<ReplicaId>,
+    /// Last entry known to be committed; all up to here are applied.
+    pub commit_index: u64,
+    /// Last entry of the log.
+    pub last_index: u64,
+    /// Last entry of the latest snapshot.
+    pub snapshot_index: u64,
+    /// The members.
+    pub configuration: Configuration,
+}
+
+#[derive(Debug)]
+pub(super) enum Role {
+    Follower,
+    PreCandidate { granted: BTreeSet<ReplicaId> },
+    Candidate { granted: BTreeSet<ReplicaId>, vote_sequence: u64 },
+    Leader(Box<Leadership>),
+}
+
+/// One replica of the log: a state machine without I/O, clock or randomness of its own.
+///
+/// Messages that speak of stored state leave only after [`Event::Stored`]; see
+/// [`Action::Persist`].
+#[derive(Debug)]
+pub struct Replica {
+    pub(super) id: ReplicaId,
+    pub(super) settings: Settings,
+    rng: Pcg64Mcg,
+    pub(super) now_ms: u64,
+    pub(super) term: u64,
+    pub(super) voted_for: Option<ReplicaId>,
+    pub(super) log: Log,
+    pub(super) snapshot: Option<Arc<Snapshot>>,
+    pub(super) incoming: Option<IncomingSnapshot>,
+    pub(super) role: Role,
+    stopped: Option<StopReason>,
+    pub(super) leader: Option<ReplicaId>,
+    pub(super) leader_heard_ms: u64,
+    pub(super) election_at_ms: u64,
+    pub(super) commit_index: u64,
+    pub(super) applied_index: u64,
+    pub(super) configuration: Configuration,
+    pub(super) configuration_index: u64,
+    pub(super) outbox: Outbox,
+    /// Messages of this step that leave after storage.
+    after_storage: Vec<Message>,
+    pub(super) unsaved: Unsaved,
+    pub(super) actions: Vec<Action>,
+}
+
+/// Changes of this step that are to be stored.
+#[derive(Debug, Default)]
+pub(super) struct Unsaved {
+    pub(super) is_hard_state_new: bool,
+    pub(super) entries_from: Option<u64>,
+    pub(super) snapshot: Option<Arc<Snapshot>>,
+    pub(super) is_log_replaced: bool,
+}
+
+impl Replica {
+    /// Creates a replica from what storage found. The seed spreads the election timeouts; give
+    /// every start of every replica another one.
+    pub fn new(
+        id: ReplicaId,
+        settings: Settings,
+        recovered: Recovered,
+        seed: u64,
+        now_ms: u64,
+    ) -> Self {
+        let Recovered { hard_state, snapshot, entries } = recovered;
+        let log = Log::recovered(snapshot.as_deref(), entries);
+        let snapshot_index = snapshot.as_ref().map_or(0, |s| s.index);
+        let (configuration, configuration_index) = log.configuration_at(u64::MAX);
+        let outbox = Outbox::recovered(log.last_index());
+        let mut replica = Self {
+            id,
+            settings,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            now_ms,
+            term: hard_state.term,
+            voted_for: hard_state.voted_for,
+            log,
+            snapshot,
+            incoming: None,
+            role: Role::Follower,
+            stopped: None,
+            leader: None,
+            leader_heard_ms: 0,
+            election_at_ms: 0,
+            commit_index: snapshot_index,
+            applied_index: snapshot_index,
+            configuration,
+            configuration_index,
+            outbox,
+            after_storage: Vec::new(),
+            unsaved: Unsaved::default(),
+            actions: Vec::new(),
+        };
+        replica.draw_election_time();
+        replica
+    }
+
+    /// Takes one event at a monotonic time and returns the actions, to be carried out in order.
+    pub fn step(&mut self, event: Event, now_ms: u64) -> Vec<Action> {
+        self.now_ms = self.now_ms.max(now_ms);
+        if self.stopped.is_some() {
+            self.refuse_stopped(&event);
+            return std::mem::take(&mut self.actions);
+        }
+        match event {
+            Event::Tick => self.tick(),
+            Event::Receive(message) => self.receive(message),
+            Event::Propose { request, command } => self.propose(request, command),
+            Event::Read { request } => self.read(request),
+            Event::ChangeMembers { request, change } => self.change_members(request, change),
+            Event::Bootstrap(voters) => self.bootstrap(voters),
+            Event::Stored(sequence) => self.outbox.stored(sequence),
+            Event::StorageFailed => self.stop(StopReason::Storage),
+            Event::Snapshot { data } => self.take_snapshot(data),
+        }
+        if self.stopped.is_none() {
+            self.finish_step();
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Whether the state machine should be asked for a snapshot.
+    pub fn is_snapshot_due(&self) -> bool {
+        self.stopped.is_none()
+            && self.applied_index >= self.snapshot_index() + self.settings.snapshot_entries
+    }
+
+    /// What the replica knows.
+    pub fn status(&self) -> Status {
+        Status {
+            id: self.id.clone(),
+            role: self.role_kind(),
+            term: self.term,
+            leader: self.leader.clone(),
+            commit_index: self.commit_index,
+            last_index: self.log.last_index(),
+            snapshot_index: self.snapshot_index(),
+            configuration: self.configuration.clone(),
+        }
+    }
+
+    /// Term of an entry that is in memory.
+    pub fn entry_term(&self, index: u64) -> Option<u64> {
+        self.log.term(index)
+    }
+
+    fn role_kind(&self) -> RoleKind {
+        if let Some(reason) = self.stopped {
+            return RoleKind::Stopped(reason);
+        }
+        match self.role {
+            Role::Follower => RoleKind::Follower,
+            Role::PreCandidate { .. } => RoleKind::PreCandidate,
+            Role::Candidate { .. } => RoleKind::Candidate,
+            Role::Leader(_) => RoleKind::Leader,
+        }
+    }
+
+    pub(super) fn snapshot_index(&self) -> u64 {
+        self.snapshot.as_ref().map_or(0, |s| s.index)
+    }
+
+    pub(super) fn draw_election_time(&mut self) {
+        let election_ms = self.settings.election_ms.max(1);
+        self.election_at_ms =
+            self.now_ms + election_ms + self.rng.random_range(0..election_ms.max(2));
+    }
+
+    fn receive(&mut self, message: Message) {
+        let is_mine = message.to == self.id
+            || (self.settings.switches.count_lost_disks && message.to.name == self.id.name);
+        if !is_mine || message.from == self.id {
+            return;
+        }
+        let Message { from, term, body, .. } = message;
+        match body {
+            Body::PreVote { last_index, last_term } => {
+                self.on_pre_vote(from, term, last_index, last_term);
+            }
+            Body::PreVoteReply { is_granted } => self.on_pre_vote_reply(&from, term, is_granted),
+            Body::Vote { last_index, last_term } => {
+                self.on_vote(from, term, last_index, last_term);
+            }
+            Body::VoteReply { is_granted } => {
+                if self.is_current_reply(term) {
+                    self.on_vote_reply(&from, is_granted);
+                }
+            }
+            Body::Append { prev_index, prev_term, entries, commit_index, round } => {
+                if self.accept_leader(&from, term) {
+                    self.on_append(from, prev_index, prev_term, entries, commit_index, round);
+                }
+            }
+            Body::AppendReply { is_accepted, prev_index, match_index, round } => {
+                if self.is_current_reply(term) {
+                    self.on_append_reply(&from, is_accepted, prev_index, match_index, round);
+                }
+            }
+            Body::SnapshotChunk { index, entry_term, configuration, offset, total_bytes, data } => {
+                if self.accept_leader(&from, term) {
+                    let part = Snapshot { index, term: entry_term, configuration, data };
+                    self.on_snapshot_chunk(from, part, offset, total_bytes);
+                }
+            }
+            Body::SnapshotReply { index, received_bytes, is_installed } => {
+                if self.is_current_reply(term) {
+                    self.on_snapshot_reply(&from, index, received_bytes, is_installed);
+                }
+            }
+        }
+    }
+
+    /// Whether a reply belongs to the current term. A higher term ends the leader's own.
+    fn is_current_reply(&mut self, term: u64) -> bool {
+        if term > self.term {
+            self.become_follower(term, None);
+        }
+        term == self.term
+    }
+
+    /// The configured identity under which a message of `from` counts, if any.
+    pub(super) fn counted_as(&self, from: &ReplicaId) -> Option<ReplicaId> {
+        if self.configuration.has_member(from) {
+            return Some(from.clone());
+        }
+        if self.settings.switches.count_lost_disks {
+            return self.configuration.members().find(|id| id.name == from.name).cloned();
+        }
+        None
+    }
+
+    /// Whether this replica votes and may stand for election.
+    pub(super) fn is_voter(&self) -> bool {
+        let own = self.counted_as(&self.id);
+        own.is_some_and(|id| self.configuration.voters.contains(&id))
+    }
+
+    /// Queues a message that leaves once this step's state is stored.
+    pub(super) fn send_after_storage(&mut self, to: ReplicaId, term: u64, body: Body) {
+        self.after_storage.push(Message { from: self.id.clone(), to, term, body });
+    }
+
+    /// Sends a message that speaks of no state that is yet to be stored.
+    pub(super) fn send_now(&mut self, to: ReplicaId, term: u64, body: Body) {
+        let message = Message { from: self.id.clone(), to, term, body };
+        self.actions.push(Action::Send(message));
+    }
+
+    pub(super) fn answer(&mut self, request: RequestNumber, answer: Answer) {
+        self.actions.push(Action::Answer { request, answer });
+    }
+
+    pub(super) fn answer_not_leader(&mut self, request: RequestNumber) {
+        let hint = self.leader.clone();
+        self.answer(request, Answer::NotLeader { hint });
+    }
+
+    /// Appends an entry and notes that it has to be stored.
+    pub(super) fn append_entry(&mut self, entry: Entry) {
+        let index = entry.index;
+        if let Payload::Members(members) = &entry.payload {
+            self.configuration = members.clone();
+            self.configuration_index = index;
+        }
+        self.log.append(entry);
+        let from = self.unsaved.entries_from.unwrap_or(index);
+        self.unsaved.entries_from = Some(from.min(index));
+    }
+
+    /// Removes the entries from `index` on, which contradict the leader's.
+    pub(super) fn truncate_log(&mut self, index: u64) {
+        self.log.truncate(index);
+        self.outbox.truncated(index);
+        if self.configuration_index >= index {
+            (self.configuration, self.configuration_index) = self.log.configuration_at(u64::MAX);
+        }
+    }
+
+    pub(super) fn set_term(&mut self, term: u64, voted_for: Option<ReplicaId>) {
+        self.term = term;
+        self.voted_for = voted_for;
+        self.unsaved.is_hard_state_new = true;
+    }
+
+    pub(super) fn stop(&mut self, reason: StopReason) {
+        self.abandon_requests();
+        self.role = Role::Follower;
+        self.leader = None;
+        self.stopped = Some(reason);
+    }
+
+    /// Answers a request that reaches a stopped replica.
+    fn refuse_stopped(&mut self, event: &Event) {
+        match event {
+            Event::Propose { request, .. }
+            | Event::Read { request }
+            | Event::ChangeMembers { request, .. } => self.answer_not_leader(*request),
+            _ => {}
+        }
+    }
+
+    fn finish_step(&mut self) {
+        self.persist();
+        self.count_own_vote();
+        // Winning a single-voter election appends an entry, which has to be stored too.
+        self.persist();
+        for message in std::mem::take(&mut self.after_storage) {
+            self.outbox.hold(message);
+        }
+        let released = self.outbox.release();
+        self.actions.extend(released.into_iter().map(Action::Send));
+        self.stream_entries();
+        self.advance_commit();
+        self.apply();
+        self.confirm_reads();
+        self.leave_if_removed();
+    }
+
+    /// Hands this step's changes to storage.
+    fn persist(&mut self) {
+        let unsaved = std::mem::take(&mut self.unsaved);
+        let is_changed = unsaved.is_hard_state_new
+            || unsaved.entries_from.is_some()
+            || unsaved.snapshot.is_some();
+        if !is_changed {
+            return;
+        }
+        let hard_state = unsaved
+            .is_hard_state_new
+            .then(|| HardState { term: self.term, voted_for: self.voted_for.clone() });
+        let first = unsaved.entries_from.map(|from| from.max(self.log.base_index() + 1));
+        let entries = first.map(|from| self.log.tail(from)).unwrap_or_default();
+        let sequence = self.outbox.issue(self.log.last_index());
+        self.actions.push(Action::Persist(PersistRequest {
+            sequence,
+            hard_state,
+            snapshot: unsaved.snapshot,
+            is_log_replaced: unsaved.is_log_replaced,
+            entries,
+        }));
+        if self.settings.switches.acknowledge_before_sync {
+            self.outbox.stored(sequence);
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/raft/snapshots.rs
@@ -0,0 +1,178 @@
+//! Snapshots, log compaction and snapshot transfer in bounded parts (sections 5.1 to 5.3).
+
+use std::sync::Arc;
+
+use crate::protocol::Body;
+use crate::protocol::ReplicaId;
+use crate::protocol::Snapshot;
+use crate::raft::leadership::Mode;
+use crate::raft::replica::Replica;
+use crate::raft::replica::Role;
+use crate::raft::Action;
+
+/// Heartbeats without an answer after which a part of a snapshot is sent again.
+const CHUNK_REPEAT_HEARTBEATS: u64 = 4;
+
+/// A snapshot of which some parts have arrived.
+#[derive(Debug)]
+pub(super) struct IncomingSnapshot {
+    from: ReplicaId,
+    index: u64,
+    term: u64,
+    data: Vec<u8>,
+}
+
+impl Replica {
+    /// Keeps the state machine's state as the latest snapshot and drops the entries in it.
+    pub(super) fn take_snapshot(&mut self, data: Vec<u8>) {
+        let index = self.applied_index;
+        let Some(term) = self.log.term(index) else { return };
+        if index <= self.snapshot_index() {
+            return;
+        }
+        let (configuration, _) = self.log.configuration_at(index);
+        let snapshot = Arc::new(Snapshot { index, term, configuration, data });
+        self.snapshot = Some(Arc::clone(&snapshot));
+        self.unsaved.snapshot = Some(snapshot);
+        let base_index = index.saturating_sub(self.settings.retained_entries);
+        if base_index > self.log.base_index() {
+            self.log.compact(base_index);
+        }
+    }
+
+    /// Starts to send the snapshot to a member whose next entry is compacted.
+    pub(super) fn start_snapshot(&mut self, peer: &ReplicaId) {
+        let index = self.snapshot_index();
+        let Role::Leader(leadership) = &mut self.role else { return };
+        let Some(progress) = leadership.progress.get_mut(peer) else { return };
+        progress.mode = Mode::Snapshot { index, offset: 0, sent_ms: 0 };
+        self.send_chunk(peer);
+    }
+
+    fn send_chunk(&mut self, peer: &ReplicaId) {
+        let now_ms = self.now_ms;
+        let Some(snapshot) = self.snapshot.clone() else { return };
+        let Role::Leader(leadership) = &mut self.role else { return };
+        let Some(progress) = leadership.progress.get_mut(peer) else { return };
+        let Mode::Snapshot { index, offset, sent_ms } = &mut progress.mode else { return };
+        if *index != snapshot.index {
+            // A newer snapshot has replaced the one that was being sent.
+            (*index, *offset) = (snapshot.index, 0);
+        }
+        *sent_ms = now_ms;
+        let start = usize::try_from(*offset).unwrap_or(usize::MAX).min(snapshot.data.len());
+        let end = (start + self.settings.chunk_bytes.max(1)).min(snapshot.data.len());
+        let body = Body::SnapshotChunk {
+            index: snapshot.index,
+            entry_term: snapshot.term,
+            configuration: snapshot.configuration.clone(),
+            offset: start as u64,
+            total_bytes: snapshot.data.len() as u64,
+            data: snapshot.data[start..end].to_vec(),
+        };
+        self.send_now(peer.clone(), self.term, body);
+    }
+
+    /// Sends the current part again if its answer is overdue.
+    pub(super) fn repeat_chunk(&mut self, peer: &ReplicaId) {
+        let Role::Leader(leadership) = &self.role else { return };
+        let Some(progress) = leadership.progress.get(peer) else { return };
+        let Mode::Snapshot { sent_ms, .. } = progress.mode else { return };
+        if self.now_ms >= sent_ms + CHUNK_REPEAT_HEARTBEATS * self.settings.heartbeat_ms {
+            self.send_chunk(peer);
+        }
+    }
+
+    /// Takes a part of a snapshot. The parts of one snapshot come from one leader only, because
+    /// another one's encoding of the same state may differ.
+    pub(super) fn on_snapshot_chunk(
+        &mut self,
+        from: ReplicaId,
+        part: Snapshot,
+        offset: u64,
+        total_bytes: u64,
+    ) {
+        let index = part.index;
+        if index <= self.commit_index {
+            return self.send_snapshot_reply(from, index, total_bytes, true);
+        }
+        if total_bytes > self.settings.snapshot_bytes {
+            return;
+        }
+        let is_same = self
+            .incoming
+            .as_ref()
+            .is_some_and(|i| i.from == from && i.index == index && i.term == part.term);
+        if !is_same {
+            let (from, term, data) = (from.clone(), part.term, Vec::new());
+            self.incoming = Some(IncomingSnapshot { from, index, term, data });
+        }
+        let incoming = self.incoming.as_mut().expect("it was set above");
+        if offset == incoming.data.len() as u64 {
+            incoming.data.extend_from_slice(&part.data);
+        }
+        let received_bytes = incoming.data.len() as u64;
+        if received_bytes < total_bytes {
+            return self.send_snapshot_reply(from, index, received_bytes, false);
+        }
+        let data = std::mem::take(&mut incoming.data);
+        self.incoming = None;
+        self.install(Snapshot { data, ..part });
+        self.send_snapshot_reply(from, index, total_bytes, true);
+    }
+
+    fn send_snapshot_reply(
+        &mut self,
+        to: ReplicaId,
+        index: u64,
+        received_bytes: u64,
+        is_installed: bool,
+    ) {
+        let body = Body::SnapshotReply { index, received_bytes, is_installed };
+        self.send_after_storage(to, self.term, body);
+    }
+
+    fn install(&mut self, snapshot: Snapshot) {
+        let snapshot = Arc::new(snapshot);
+        if self.log.term(snapshot.index) == Some(snapshot.term) {
+            self.log.compact(snapshot.index);
+        } else {
+            self.outbox.truncated(0);
+            self.log.reset(&snapshot);
+            self.unsaved.is_log_replaced = true;
+            self.unsaved.entries_from = None;
+        }
+        (self.configuration, self.configuration_index) = self.log.configuration_at(u64::MAX);
+        self.commit_index = snapshot.index;
+        self.applied_index = snapshot.index;
+        self.snapshot = Some(Arc::clone(&snapshot));
+        self.unsaved.snapshot = Some(Arc::clone(&snapshot));
+        self.actions.push(Action::InstallSnapshot(snapshot));
+    }
+
+    pub(super) fn on_snapshot_reply(
+        &mut self,
+        from: &ReplicaId,
+        index: u64,
+        received_bytes: u64,
+        is_installed: bool,
+    ) {
+        let now_ms = self.now_ms;
+        let Some(member) = self.counted_as(from) else { return };
+        let Role::Leader(leadership) = &mut self.role else { return };
+        let Some(progress) = leadership.progress.get_mut(&member) else { return };
+        progress.heard_ms = now_ms;
+        let Mode::Snapshot { index: sent_index, offset, .. } = &mut progress.mode else { return };
+        if index != *sent_index {
+            return;
+        }
+        if is_installed {
+            progress.match_index = progress.match_index.max(index);
+            progress.next_index = progress.match_index + 1;
+            progress.mode = Mode::Probe { is_sent: false };
+        } else if *offset != received_bytes {
+            *offset = received_bytes;
+            self.send_chunk(&member);
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/storage/log_store.rs
@@ -0,0 +1,63 @@
+use std::fmt;
+use std::path::PathBuf;
+
+use error_stack::Report;
+
+use crate::raft::PersistRequest;
+
+/// Where a replica keeps its state.
+pub trait LogStore: Send {
+    /// Writes a request. It is durable only after the next [`LogStore::sync`].
+    ///
+    /// # Errors
+    /// After any error the store refuses all further calls.
+    fn write(&mut self, request: &PersistRequest) -> Result<(), Report<StorageError>>;
+
+    /// Syncs everything written so far. A failed sync is never tried again.
+    ///
+    /// # Errors
+    /// After any error the store refuses all further calls.
+    fn sync(&mut self) -> Result<(), Report<StorageError>>;
+}
+
+/// Why the state cannot be read or written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StorageError {
+    /// The operating system refused.
+    Io {
+        /// What was being done.
+        step: &'static str,
+        /// With which file.
+        file: PathBuf,
+    },
+    /// State that may have been acknowledged is damaged.
+    Damaged {
+        /// File with the damage.
+        file: PathBuf,
+        /// Place of the damage in the file, in bytes.
+        offset: u64,
+        /// What is wrong.
+        fault: &'static str,
+    },
+    /// An earlier write or sync failed.
+    Failed,
+}
+
+impl fmt::Display for StorageError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io { step, file } => write!(f, "cannot {step} {}", file.display()),
+            Self::Damaged { file, offset, fault } => write!(
+                f,
+                "{} is damaged at byte {offset}: {fault}. It may hold acknowledged state, so this \
+                 replica cannot go on as itself. Move its data directory away, start it with an \
+                 empty one, remove the old replica from the members, add the new one as a learner \
+                 and promote it",
+                file.display()
+            ),
+            Self::Failed => f.write_str("an earlier write or sync failed; restart the replica"),
+        }
+    }
+}
+
+impl std::error::Error for StorageError {}
--- /dev/null
+++ b/crates/consensus/src/storage/recovery.rs
@@ -0,0 +1,185 @@
+//! Reading the log segments at start.
+
+use std::fs;
+use std::fs::OpenOptions;
+use std::path::Path;
+use std::path::PathBuf;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+
+use crate::protocol::Entry;
+use crate::protocol::Snapshot;
+use crate::storage::atomic_file;
+use crate::storage::segment;
+use crate::storage::segment::Header;
+use crate::storage::segment::HEADER_BYTES;
+use crate::storage::snapshot_file::atomic_file_numbers;
+use crate::storage::sync_mark::SyncedTo;
+use crate::storage::StorageError;
+
+/// Start of the names of segments.
+pub(super) const SEGMENT_PREFIX: &str = "log-";
+
+/// A segment on disk.
+#[derive(Debug)]
+pub(super) struct SegmentFile {
+    pub(super) number: u64,
+    pub(super) path: PathBuf,
+    /// Highest index of its records; 0 without records.
+    pub(super) max_index: u64,
+    pub(super) bytes: u64,
+}
+
+/// The log as it was found.
+#[derive(Debug, Default)]
+pub(super) struct RecoveredLog {
+    pub(super) segments: Vec<SegmentFile>,
+    /// Entries in order; a later record replaces earlier ones of the same and of higher index.
+    pub(super) entries: Vec<Entry>,
+    /// Index that the first segment starts at.
+    first_index: u64,
+}
+
+fn damaged(file: &Path, offset: usize, fault: &'static str) -> Report<StorageError> {
+    Report::new(StorageError::Damaged { file: file.into(), offset: offset as u64, fault })
+}
+
+/// Segments of a directory, in order.
+pub(super) fn list_segments(directory: &Path) -> Result<Vec<(u64, PathBuf)>, Report<StorageError>> {
+    let mut found = atomic_file_numbers(directory, SEGMENT_PREFIX)?;
+    found.sort();
+    Ok(found)
+}
+
+impl RecoveredLog {
+    /// Reads all segments, and cuts a damaged tail that holds nothing acknowledged.
+    pub(super) fn read(
+        directory: &Path,
+        synced_to: SyncedTo,
+    ) -> Result<Self, Report<StorageError>> {
+        let found = list_segments(directory)?;
+        let mut log = Self::default();
+        let Some((last_number, last_path)) = found.last().cloned() else {
+            return Err(damaged(directory, 0, "there is no log segment"));
+        };
+        if synced_to.segment > last_number {
+            return Err(damaged(&last_path, 0, "a later segment is missing"));
+        }
+        for (number, path) in found {
+            if log.segments.last().is_some_and(|previous| previous.number + 1 != number) {
+                return Err(damaged(&path, 0, "the segment before this one is missing"));
+            }
+            let synced_bytes = if synced_to.segment == number { synced_to.offset } else { 0 };
+            log.read_segment(number, path, number == last_number, synced_bytes)?;
+        }
+        Ok(log)
+    }
+
+    fn read_segment(
+        &mut self,
+        number: u64,
+        path: PathBuf,
+        is_last: bool,
+        synced_bytes: u64,
+    ) -> Result<(), Report<StorageError>> {
+        let bytes = fs::read(&path).change_context_lazy(|| atomic_file::io("read", &path))?;
+        let header = Header::decode(&bytes).filter(|header| header.number == number);
+        let Some(header) = header else {
+            // A new segment gets records only after its header is synced, so one without records
+            // that is not needed as the base of the log was being created.
+            let is_unused = is_last
+                && synced_bytes == 0
+                && bytes.len() <= HEADER_BYTES
+                && !self.segments.is_empty();
+            if !is_unused {
+                return Err(damaged(&path, 0, "the header is damaged"));
+            }
+            return fs::remove_file(&path).change_context_lazy(|| atomic_file::io("remove", &path));
+        };
+        match self.segments.last() {
+            None => self.first_index = header.next_index,
+            Some(previous) if previous.bytes != header.previous_bytes => {
+                let offset = usize::try_from(previous.bytes).unwrap_or(usize::MAX);
+                return Err(damaged(&previous.path, offset, "its length has changed"));
+            }
+            Some(_) => {}
+        }
+        let mut offset = HEADER_BYTES;
+        let mut max_index = 0;
+        while let Some(record) = segment::read_record(&bytes, offset) {
+            self.add(record.entry, &path, offset, &mut max_index)?;
+            offset = record.end;
+        }
+        if (offset as u64) < synced_bytes {
+            return Err(damaged(&path, offset, "a synced record is damaged or missing"));
+        }
+        if offset < bytes.len() {
+            if !is_last || segment::is_synced_beyond(&bytes, offset) {
+                return Err(damaged(&path, offset, "a synced record is damaged"));
+            }
+            tracing::warn!(
+                "log: cutting {} bytes that were never synced from {} at byte {offset}",
+                bytes.len() - offset,
+                path.display()
+            );
+            cut(&path, offset as u64)?;
+        }
+        self.segments.push(SegmentFile { number, path, max_index, bytes: offset as u64 });
+        Ok(())
+    }
+
+    fn add(
+        &mut self,
+        entry: Entry,
+        path: &Path,
+        offset: usize,
+        max_index: &mut u64,
+    ) -> Result<(), Report<StorageError>> {
+        *max_index = (*max_index).max(entry.index);
+        let first = self.entries.first().map_or(entry.index, |e| e.index);
+        let keep = entry.index.saturating_sub(first);
+        let keep = usize::try_from(keep).unwrap_or(usize::MAX);
+        let is_behind_start = self.entries.is_empty() && entry.index > self.first_index;
+        if keep > self.entries.len() || is_behind_start {
+            return Err(damaged(path, offset, "entries are missing before this record"));
+        }
+        self.entries.truncate(keep);
+        self.entries.push(entry);
+        Ok(())
+    }
+
+    /// Removes the entries that a snapshot contains. Returns false if the log does not continue
+    /// the snapshot, because the replica stopped while it replaced the log by the snapshot.
+    pub(super) fn fit_to(
+        &mut self,
+        snapshot: Option<&Snapshot>,
+    ) -> Result<bool, Report<StorageError>> {
+        let snapshot_index = snapshot.map_or(0, |s| s.index);
+        let first = self.entries.first().map_or(self.first_index, |e| e.index);
+        if first.min(self.first_index) > snapshot_index + 1 {
+            let path = &self.segments[0].path;
+            return Err(damaged(path, HEADER_BYTES, "the snapshot before it is missing"));
+        }
+        let Some(snapshot) = snapshot else { return Ok(true) };
+        let is_newer = self.entries.first().is_some_and(|e| e.index == snapshot.index + 1);
+        let is_joined = self
+            .entries
+            .iter()
+            .any(|entry| entry.index == snapshot.index && entry.term == snapshot.term);
+        let is_new_log = self.entries.is_empty() && self.first_index == snapshot.index + 1;
+        self.entries.retain(|e| e.index > snapshot.index);
+        if is_joined || is_newer || is_new_log {
+            return Ok(true);
+        }
+        self.entries.clear();
+        Ok(false)
+    }
+}
+
+fn cut(path: &Path, length: u64) -> Result<(), Report<StorageError>> {
+    let error = || atomic_file::io("cut the damaged end of", path);
+    let file = OpenOptions::new().write(true).open(path).change_context_lazy(error)?;
+    file.set_len(length).change_context_lazy(error)?;
+    file.sync_all().change_context_lazy(error)
+}
--- /dev/null
+++ b/crates/consensus/src/storage/segment.rs
@@ -0,0 +1,112 @@
+//! Format of log segments.
+//!
+//! A header names the segment's number, the first index that it may be needed for, and the length
+//! of the segment before. Records follow, each with length, CRC32, the length of the segment that
+//! was synced before the record was written, and the entry.
+
+use crate::protocol::Entry;
+
+const MAGIC: &[u8; 8] = b"tgllog1\n";
+
+/// Size of the header, in bytes.
+pub(super) const HEADER_BYTES: usize = 36;
+
+const RECORD_HEADER_BYTES: usize = 16;
+
+/// Longest record that is taken for one, in bytes; commands are limited far below.
+const MAX_RECORD_BYTES: usize = 64 << 20;
+
+/// Start of a segment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Header {
+    pub(super) number: u64,
+    /// Index of the entry that follows all earlier segments.
+    pub(super) next_index: u64,
+    /// Length of the segment before, in bytes.
+    pub(super) previous_bytes: u64,
+}
+
+impl Header {
+    pub(super) fn encode(self) -> Vec<u8> {
+        let mut bytes = MAGIC.to_vec();
+        for number in [self.number, self.next_index, self.previous_bytes] {
+            bytes.extend_from_slice(&number.to_le_bytes());
+        }
+        bytes.extend_from_slice(&crc32fast::hash(&bytes).to_le_bytes());
+        bytes
+    }
+
+    pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
+        let bytes = bytes.get(..HEADER_BYTES)?;
+        let crc = read_u32(bytes, HEADER_BYTES - 4)?;
+        let is_valid =
+            bytes.starts_with(MAGIC) && crc32fast::hash(&bytes[..HEADER_BYTES - 4]) == crc;
+        is_valid.then_some(())?;
+        Some(Self {
+            number: read_u64(bytes, 8)?,
+            next_index: read_u64(bytes, 16)?,
+            previous_bytes: read_u64(bytes, 24)?,
+        })
+    }
+}
+
+/// Appends a record to a buffer.
+pub(super) fn encode_record(entry: &Entry, synced_bytes: u64, buffer: &mut Vec<u8>) {
+    let payload = postcard::to_stdvec(entry).expect("an entry can always be encoded");
+    let length = u32::try_from(payload.len()).expect("a command is shorter than 4 GiB");
+    let crc = record_crc(length, synced_bytes, &payload);
+    buffer.extend_from_slice(&length.to_le_bytes());
+    buffer.extend_from_slice(&crc.to_le_bytes());
+    buffer.extend_from_slice(&synced_bytes.to_le_bytes());
+    buffer.extend_from_slice(&payload);
+}
+
+fn record_crc(length: u32, synced_bytes: u64, payload: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&length.to_le_bytes());
+    hasher.update(&synced_bytes.to_le_bytes());
+    hasher.update(payload);
+    hasher.finalize()
+}
+
+/// A record that was read.
+#[derive(Debug)]
+pub(super) struct Record {
+    pub(super) entry: Entry,
+    pub(super) synced_bytes: u64,
+    /// Offset behind the record.
+    pub(super) end: usize,
+}
+
+/// Reads the record at an offset; `None` if it is cut short or damaged.
+pub(super) fn read_record(bytes: &[u8], offset: usize) -> Option<Record> {
+    let length = read_u32(bytes, offset)?;
+    let crc = read_u32(bytes, offset + 4)?;
+    let synced_bytes = read_u64(bytes, offset + 8)?;
+    let start = offset + RECORD_HEADER_BYTES;
+    let size = usize::try_from(length).ok().filter(|s| (1..=MAX_RECORD_BYTES).contains(s))?;
+    let end = start + size;
+    let payload = bytes.get(start..end)?;
+    if record_crc(length, synced_bytes, payload) != crc {
+        return None;
+    }
+    let entry = postcard::from_bytes(payload).ok()?;
+    Some(Record { entry, synced_bytes, end })
+}
+
+/// Whether a valid record behind `offset` proves that the segment was synced beyond `offset`.
+///
+/// The search tries every position, because the length of a damaged record cannot be trusted.
+pub(super) fn is_synced_beyond(bytes: &[u8], offset: usize) -> bool {
+    (offset + 1..bytes.len())
+        .filter_map(|at| read_record(bytes, at))
+        .any(|record| record.synced_bytes > offset as u64)
+}
+
+fn read_u32(bytes: &[u8], at: usize) -> Option<u32> {
+    Some(u32::from_le_bytes(bytes.get(at..at + 4)?.try_into().ok()?))
+}
+
+fn read_u64(bytes: &[u8], at: usize) -> Option<u64> {
+    Some(u64::from_le_bytes(bytes.get(at..at + 8)?.try_into().ok()?))
+}
--- /dev/null
+++ b/crates/consensus/src/storage/snapshot_file.rs
@@ -0,0 +1,76 @@
+//! Snapshot files. A snapshot replaces the one before only once it is durable.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+
+use crate::protocol::Snapshot;
+use crate::storage::atomic_file;
+use crate::storage::StorageError;
+
+const MAGIC: &[u8; 8] = b"tgsnap1\n";
+const PREFIX: &str = "snapshot-";
+
+/// Snapshot files of a directory, by index.
+fn list(directory: &Path) -> Result<Vec<(u64, PathBuf)>, Report<StorageError>> {
+    let mut found = atomic_file_numbers(directory, PREFIX)?;
+    found.sort();
+    Ok(found)
+}
+
+/// Files of a directory whose name is a prefix and a number of 16 hex digits.
+pub(super) fn atomic_file_numbers(
+    directory: &Path,
+    prefix: &str,
+) -> Result<Vec<(u64, PathBuf)>, Report<StorageError>> {
+    let error = || atomic_file::io("list", directory);
+    let mut found = Vec::new();
+    for entry in fs::read_dir(directory).change_context_lazy(error)? {
+        let path = entry.change_context_lazy(error)?.path();
+        let name = path.file_name().and_then(|n| n.to_str()).unwrap_or_default();
+        let number = name.strip_prefix(prefix).filter(|digits| digits.len() == 16);
+        if let Some(number) = number.and_then(|digits| u64::from_str_radix(digits, 16).ok()) {
+            found.push((number, path));
+        }
+    }
+    Ok(found)
+}
+
+/// Stores a snapshot and then removes older ones.
+pub(super) fn store(directory: &Path, snapshot: &Snapshot) -> Result<(), Report<StorageError>> {
+    let name = format!("{PREFIX}{:016x}", snapshot.index);
+    let payload = postcard::to_stdvec(snapshot)
+        .change_context_lazy(|| atomic_file::io("encode", Path::new(&name)))?;
+    atomic_file::replace(directory, &name, &atomic_file::seal(MAGIC, &payload))?;
+    remove_older(directory, snapshot.index)
+}
+
+fn remove_older(directory: &Path, index: u64) -> Result<(), Report<StorageError>> {
+    for (found, path) in list(directory)? {
+        if found < index {
+            atomic_file::remove(directory, &path)?;
+        }
+    }
+    Ok(())
+}
+
+/// Reads the latest snapshot.
+///
+/// A damaged one is an error even if an older one is left, because the log behind the older one
+/// may be gone.
+pub(super) fn load(directory: &Path) -> Result<Option<Snapshot>, Report<StorageError>> {
+    let Some((index, path)) = list(directory)?.pop() else { return Ok(None) };
+    let bytes = fs::read(&path).change_context_lazy(|| atomic_file::io("read", &path))?;
+    let payload = atomic_file::unseal(MAGIC, &path, &bytes)?;
+    let damaged = |fault| StorageError::Damaged { file: path.clone(), offset: 20, fault };
+    let snapshot: Snapshot = postcard::from_bytes(payload)
+        .change_context_lazy(|| damaged("the content cannot be decoded"))?;
+    if snapshot.index != index {
+        return Err(Report::new(damaged("the index does not match the file name")));
+    }
+    remove_older(directory, index)?;
+    Ok(Some(snapshot))
+}
--- /dev/null
+++ b/crates/consensus/tests/driver.rs
@@ -0,0 +1,179 @@
+//! Guards the task around the replica: syncs before answers, restarts, failed storage.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use error_stack::Report;
+use tarragon_consensus::driver::Driver;
+use tarragon_consensus::driver::DriverParts;
+use tarragon_consensus::driver::ProposeError;
+use tarragon_consensus::driver::ReplicaHandle;
+use tarragon_consensus::driver::Transport;
+use tarragon_consensus::protocol::DiskId;
+use tarragon_consensus::protocol::Message;
+use tarragon_consensus::protocol::ReplicaId;
+use tarragon_consensus::raft::MemberChange;
+use tarragon_consensus::raft::Recovered;
+use tarragon_consensus::raft::RoleKind;
+use tarragon_consensus::raft::Settings;
+use tarragon_consensus::raft::StopReason;
+use tarragon_consensus::storage::FaultyStore;
+use tarragon_consensus::storage::FileLogStore;
+use tarragon_consensus::storage::LogStore;
+use tarragon_consensus::RestoreError;
+use tarragon_consensus::StateMachine;
+use tokio_util::sync::CancellationToken;
+
+/// Appends commands to one text and answers with its length.
+#[derive(Default)]
+struct Text(Vec<u8>);
+
+impl StateMachine for Text {
+    fn apply(&mut self, _index: u64, command: &[u8]) -> Vec<u8> {
+        self.0.extend_from_slice(command);
+        self.0.clone()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.0.clone()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), Report<RestoreError>> {
+        self.0 = snapshot.to_vec();
+        Ok(())
+    }
+}
+
+/// Delivers messages between handles in one process.
+#[derive(Default)]
+struct Switchboard(Mutex<BTreeMap<String, ReplicaHandle>>);
+
+impl Transport for Switchboard {
+    fn send(&self, peer: &str, message: Message) {
+        if let Some(handle) = self.0.lock().expect("no holder of the lock panics").get(peer) {
+            handle.receive(message);
+        }
+    }
+}
+
+fn id(name: &str, disk: u64) -> ReplicaId {
+    ReplicaId::new(name, DiskId(disk))
+}
+
+fn settings() -> Settings {
+    Settings { heartbeat_ms: 20, election_ms: 100, snapshot_entries: 8, ..Settings::default() }
+}
+
+/// A replica that runs until its token is cancelled.
+struct Running {
+    handle: ReplicaHandle,
+    stop: CancellationToken,
+    task: tokio::task::JoinHandle<Result<(), Report<RestoreError>>>,
+}
+
+impl Running {
+    fn start(
+        board: &Arc<Switchboard>,
+        id: ReplicaId,
+        store: Box<dyn LogStore>,
+        recovered: Recovered,
+    ) -> Self {
+        let transport: Arc<dyn Transport> = Arc::clone(board) as Arc<dyn Transport>;
+        let name = id.name.clone();
+        let (settings, machine) = (settings(), Box::new(Text::default()));
+        let seed = id.disk.0;
+        let parts = DriverParts { id, settings, store, recovered, machine, transport, seed };
+        let (driver, handle) = Driver::new(parts).expect("the snapshot can be restored");
+        board.0.lock().expect("no holder of the lock panics").insert(name, handle.clone());
+        let stop = CancellationToken::new();
+        let task = tokio::spawn(driver.run(stop.clone()));
+        Self { handle, stop, task }
+    }
+
+    async fn wait_for_role(&self, role: RoleKind) {
+        self.handle.watch_status().wait_for(|s| s.role == role).await.expect("the replica runs");
+    }
+
+    async fn end(self) {
+        self.stop.cancel();
+        self.task.await.expect("the task does not panic").expect("the task ends well");
+    }
+}
+
+/// Guards against answers that a restart forgets, and snapshots that lose or repeat commands.
+#[tokio::test]
+async fn a_single_voter_keeps_its_commands_over_restarts_and_snapshots() {
+    let folder = tempfile::tempdir().unwrap();
+    let board = Arc::new(Switchboard::default());
+    let mut expected = Vec::new();
+    for start in 0..3 {
+        let (store, recovered) = FileLogStore::open(folder.path(), DiskId(start + 1)).unwrap();
+        let own = ReplicaId::new("a", store.disk());
+        assert_eq!(own.disk, DiskId(1));
+        let running = Running::start(&board, own.clone(), Box::new(store), recovered);
+        running.handle.bootstrap(vec![own]).await;
+        running.wait_for_role(RoleKind::Leader).await;
+        for byte in 0..20 {
+            expected.push(byte);
+            assert_eq!(running.handle.propose(vec![byte]).await.unwrap(), expected);
+        }
+        running.handle.read_barrier().await.unwrap();
+        assert!(running.handle.status().snapshot_index > 0);
+        running.end().await;
+    }
+}
+
+/// Guards against a replica that goes on after a failed write, and against claims about the fate
+/// of a command whose write failed.
+#[tokio::test]
+async fn a_replica_stops_when_storage_fails() {
+    let board = Arc::new(Switchboard::default());
+    let store = FaultyStore::default();
+    let running = Running::start(&board, id("a", 1), Box::new(store.clone()), Recovered::default());
+    running.handle.bootstrap(vec![id("a", 1)]).await;
+    running.wait_for_role(RoleKind::Leader).await;
+    running.handle.propose(vec![1]).await.unwrap();
+    store.disk().fail();
+    assert_eq!(running.handle.propose(vec![2]).await, Err(ProposeError::OutcomeUnknown));
+    running.wait_for_role(RoleKind::Stopped(StopReason::Storage)).await;
+    assert_eq!(running.handle.propose(vec![3]).await, Err(ProposeError::NoMajority));
+    assert_eq!(running.handle.read_barrier().await, Err(ProposeError::NoMajority));
+    running.end().await;
+}
+
+/// Guards the way in of a new replica: it learns the log by snapshot, is promoted and votes.
+#[tokio::test]
+async fn a_learner_is_added_promoted_and_followers_name_the_leader() {
+    let board = Arc::new(Switchboard::default());
+    let start = |id: ReplicaId| {
+        Running::start(&board, id, Box::new(FaultyStore::default()), Recovered::default())
+    };
+    let first = start(id("a", 1));
+    first.handle.bootstrap(vec![id("a", 1)]).await;
+    first.wait_for_role(RoleKind::Leader).await;
+    for byte in 0..20 {
+        first.handle.propose(vec![byte]).await.unwrap();
+    }
+    let second = start(id("b", 2));
+    let refused = second.handle.propose(vec![9]).await;
+    assert_eq!(refused, Err(ProposeError::NoMajority));
+    first.handle.change_members(MemberChange::AddLearner(id("b", 2))).await.unwrap();
+    let last_index = first.handle.status().last_index;
+    let mut status = second.handle.watch_status();
+    status.wait_for(|s| s.commit_index >= last_index).await.unwrap();
+    // The acknowledgement of the last entry may still be on its way.
+    let mut promoted = Err(ProposeError::NoMajority);
+    for _ in 0..100_000 {
+        promoted = first.handle.change_members(MemberChange::Promote(id("b", 2))).await;
+        if promoted.is_ok() {
+            break;
+        }
+    }
+    assert_eq!(promoted, Ok(()));
+    assert_eq!(first.handle.status().configuration.voters.len(), 2);
+    let hint = second.handle.propose(vec![9]).await;
+    assert_eq!(hint, Err(ProposeError::NotLeader { hint: "a".into() }));
+    first.end().await;
+    second.end().await;
+}
