Run control replicas, membership and the catalogue copy in the daemon

Cause: accepted notes must be durable on a majority and reach every node.

Ruled out: internally tagged answers; postcard cannot decode them, so an accepted note was reported as unknown (seen with three replicas).

--- a/crates/model/src/api/drain.rs
+++ b/crates/model/src/api/drain.rs
@@ -12,7 +12,7 @@
 
 /// Answer to a drain.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[serde(rename_all = "kebab-case", tag = "result")]
+#[serde(rename_all = "kebab-case")]
 pub enum DrainAnswer {
     /// The gate refuses new work from now on.
     Draining {
--- a/crates/model/src/api/mod.rs
+++ b/crates/model/src/api/mod.rs
@@ -2,11 +2,17 @@
 
 mod announcement;
 mod drain;
+mod replica;
 mod status;
 
 pub use announcement::Announcement;
 pub use drain::DrainAnswer;
 pub use drain::DrainRequest;
+pub use replica::InitRequest;
+pub use replica::ReplicaChangeAnswer;
+pub use replica::ReplicaEntry;
+pub use replica::ReplicaInfo;
+pub use replica::ReplicaName;
 pub use status::BackendReport;
 pub use status::DataCentreRevision;
 pub use status::NodeStatus;
--- a/crates/model/src/catalogue/answer.rs
+++ b/crates/model/src/catalogue/answer.rs
@@ -6,7 +6,7 @@
 
 /// Answer to a submitted release note.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[serde(rename_all = "kebab-case", tag = "result")]
+#[serde(rename_all = "kebab-case")]
 pub enum SubmitAnswer {
     /// The note was accepted, now or when it was first submitted.
     Accepted {
--- a/crates/tarragonctl/src/cli/args.rs
+++ b/crates/tarragonctl/src/cli/args.rs
@@ -54,6 +54,35 @@
     },
     /// End the drain of the backend server of the node given with --node.
     Undrain,
+    /// Start, list and replace the control replicas.
+    Replica {
+        /// What to do.
+        #[command(subcommand)]
+        command: ReplicaCommand,
+    },
+}
+
+/// Commands about the control replicas.
+#[derive(Debug, Subcommand)]
+pub enum ReplicaCommand {
+    /// Start the log of a new deployment at the replica of the node given with --node.
+    Init {
+        /// Start even if a known replica does not answer.
+        #[arg(long)]
+        force: bool,
+    },
+    /// List the known replicas and what each says of itself.
+    List,
+    /// Add the replica of a node; it votes once it has caught up.
+    Add {
+        /// Name of the node.
+        name: String,
+    },
+    /// Remove the replica of a node, for example one that lost its disk.
+    Remove {
+        /// Name of the node.
+        name: String,
+    },
 }
 
 /// Commands about release notes.
--- a/crates/tarragonctl/src/cli/mod.rs
+++ b/crates/tarragonctl/src/cli/mod.rs
@@ -5,3 +5,4 @@
 pub use args::Args;
 pub use args::Command;
 pub use args::NoteCommand;
+pub use args::ReplicaCommand;
--- a/crates/tarragonctl/src/command/print.rs
+++ b/crates/tarragonctl/src/command/print.rs
@@ -2,6 +2,8 @@
 use tarragon_model::api::NodeStatus;
 use tarragon_model::api::NoteList;
 use tarragon_model::api::NoteStatus;
+use tarragon_model::api::ReplicaChangeAnswer;
+use tarragon_model::api::ReplicaEntry;
 use tarragon_model::catalogue::SubmitAnswer;
 use tarragon_model::check::format_mistakes;
 use tarragon_model::member::MemberRecord;
@@ -94,3 +96,33 @@
     }
     lines.join("\n")
 }
+
+/// Formats the control replicas.
+pub fn replicas(replicas: &[ReplicaEntry]) -> String {
+    let line = |entry: &ReplicaEntry| {
+        match &entry.info {
+        None => format!("{}: no answer", entry.name),
+        Some(info) => format!(
+            "{}@{} {} in term {}, entry {} of {} committed, snapshot at {}, voters [{}], learners [{}]",
+            info.name,
+            info.disk,
+            info.role,
+            info.term,
+            info.commit_index,
+            info.last_index,
+            info.snapshot_index,
+            info.voters.join(", "),
+            info.learners.join(", ")
+        ),
+    }
+    };
+    replicas.iter().map(line).collect::<Vec<_>>().join("\n")
+}
+
+/// Formats the result of a change of the replicas.
+pub fn replica_change(answer: &ReplicaChangeAnswer) -> String {
+    match answer {
+        ReplicaChangeAnswer::Done => "done".into(),
+        ReplicaChangeAnswer::Refused { cause } => format!("refused: {cause}"),
+    }
+}
--- a/crates/tarragonctl/src/command/run.rs
+++ b/crates/tarragonctl/src/command/run.rs
@@ -10,9 +10,13 @@
 use tarragon_client::Reply;
 use tarragon_model::api::DrainAnswer;
 use tarragon_model::api::DrainRequest;
+use tarragon_model::api::InitRequest;
 use tarragon_model::api::NodeStatus;
 use tarragon_model::api::NoteList;
 use tarragon_model::api::NoteStatus;
+use tarragon_model::api::ReplicaChangeAnswer;
+use tarragon_model::api::ReplicaEntry;
+use tarragon_model::api::ReplicaName;
 use tarragon_model::catalogue::SubmitAnswer;
 use tarragon_model::member::MemberRecord;
 use tarragon_model::note::ServiceSpec;
@@ -20,9 +24,12 @@
 use crate::cli::Args;
 use crate::cli::Command;
 use crate::cli::NoteCommand;
+use crate::cli::ReplicaCommand;
 use crate::command::print;
 use crate::command::CommandResult;
 
+const INIT_PATH: &str = "/v1/replicas/init";
+
 /// Runs a command.
 pub async fn run_command(args: &Args) -> CommandResult {
     run(args).await.unwrap_or_else(|failure| failure)
@@ -57,6 +64,7 @@
             session.request(Method::DELETE, "/v1/drain", Bytes::new()).await?;
             Ok(CommandResult::Done("the drain has ended".into()))
         }
+        Command::Replica { command } => session.replica(command).await,
     }
 }
 
@@ -79,8 +87,8 @@
     }
 
     async fn drain(&self, force: bool) -> Result<CommandResult, CommandResult> {
-        let body = serde_json::to_vec(&DrainRequest { force }).expect("a drain request is JSON");
-        let reply = self.request(Method::POST, "/v1/drain", Bytes::from(body)).await?;
+        let body = json_body(&DrainRequest { force });
+        let reply = self.request(Method::POST, "/v1/drain", body).await?;
         let answer: DrainAnswer = parse(&reply)?;
         let text = self.text(&answer, print::drain_answer);
         Ok(match answer {
@@ -89,6 +97,28 @@
         })
     }
 
+    async fn replica(&self, command: &ReplicaCommand) -> Result<CommandResult, CommandResult> {
+        let named = |name: &String| json_body(&ReplicaName { name: name.clone() });
+        let (path, body) = match command {
+            ReplicaCommand::List => {
+                let format = |replicas: &Vec<ReplicaEntry>| print::replicas(replicas);
+                return self.show(Method::GET, "/v1/replicas", format).await;
+            }
+            ReplicaCommand::Init { force } => {
+                (INIT_PATH, json_body(&InitRequest { force: *force }))
+            }
+            ReplicaCommand::Add { name } => ("/v1/replicas/add", named(name)),
+            ReplicaCommand::Remove { name } => ("/v1/replicas/remove", named(name)),
+        };
+        let reply = self.request(Method::POST, path, body).await?;
+        let answer: ReplicaChangeAnswer = parse(&reply)?;
+        let text = self.text(&answer, print::replica_change);
+        Ok(match answer {
+            ReplicaChangeAnswer::Done => CommandResult::Done(text),
+            ReplicaChangeAnswer::Refused { .. } => CommandResult::Refused(text),
+        })
+    }
+
     async fn show<T: DeserializeOwned + Serialize>(
         &self,
         method: Method,
@@ -110,14 +140,14 @@
 
     /// Sends a request; only successful replies are returned as such.
     ///
-    /// A drain concerns the one node that was named, so it goes to the first address only.
+    /// Some commands concern the one node that was named, so they go to the first address only.
     async fn request(
         &self,
         method: Method,
         path: &str,
         body: Bytes,
     ) -> Result<Reply, CommandResult> {
-        let is_for_one = path == "/v1/drain" || path == "/v1/status";
+        let is_for_one = ["/v1/drain", "/v1/status", INIT_PATH].contains(&path);
         let nodes = if is_for_one { &self.args.nodes[..1] } else { &self.args.nodes[..] };
         let reply = self.client.send_to_any(nodes, method, path, body).await;
         let reply = reply.map_err(|report| {
@@ -140,6 +170,10 @@
     }
 }
 
+fn json_body<T: Serialize>(value: &T) -> Bytes {
+    Bytes::from(serde_json::to_vec(value).expect("a request is JSON"))
+}
+
 fn read_file(path: &Path) -> Result<String, CommandResult> {
     std::fs::read_to_string(path)
         .map_err(|e| CommandResult::BadInput(format!("cannot read '{}': {e}", path.display())))
--- a/crates/tarragond/src/app/logging.rs
+++ b/crates/tarragond/src/app/logging.rs
@@ -1,6 +1,7 @@
 use std::io::stderr;
 use std::io::IsTerminal;
 
+use error_stack::fmt::ColorMode;
 use error_stack::Report;
 use error_stack::ResultExt;
 use tracing_subscriber::EnvFilter;
@@ -20,6 +21,9 @@
         .with_env_filter(filter)
         .with_ansi(stderr().is_terminal())
         .with_writer(stderr);
+    if !stderr().is_terminal() {
+        Report::set_color_mode(ColorMode::None);
+    }
     // A second call in one process, as in tests, keeps the first output.
     let _ = match settings.format {
         LogFormat::Human => builder.with_target(false).try_init(),
--- a/crates/tarragond/src/backend/announcements.rs
+++ b/crates/tarragond/src/backend/announcements.rs
@@ -1,15 +1,25 @@
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
+use async_trait::async_trait;
+use error_stack::Report;
+use tarragon_kernel::Kernel;
+use tarragon_kernel::KernelError;
+use tarragon_kernel::Service;
 use tarragon_model::api::Announcement;
 use tarragon_model::member::BackendState;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 use tracing::info;
 
 use crate::backend::BackendStatus;
 use crate::backend::OwnBackend;
 
+/// Time between checks for expiry and the end of a cold start, in ms.
+const TICK_INTERVAL_MS: u64 = 100;
+
 /// The announcement of the node's own backend server and what follows from it.
 pub struct Announcements {
     held: Mutex<Held>,
@@ -73,7 +83,7 @@
     }
 
     /// Applies what depends on time: expiry and the end of the cold start.
-    pub fn tick(&self) {
+    fn tick(&self) {
         let mut held = self.held.lock().expect("no holder of the lock panics");
         self.refresh(&mut held, Instant::now());
     }
@@ -120,3 +130,24 @@
         self.status.subscribe()
     }
 }
+
+#[async_trait]
+impl Service for Announcements {
+    fn name(&self) -> &'static str {
+        "announcements"
+    }
+
+    async fn run(
+        self: Arc<Self>,
+        _kernel: Arc<Kernel>,
+        stop: CancellationToken,
+    ) -> Result<(), Report<KernelError>> {
+        let mut interval = tokio::time::interval(Duration::from_millis(TICK_INTERVAL_MS));
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return Ok(()),
+                _ = interval.tick() => self.tick(),
+            }
+        }
+    }
+}
--- a/crates/tarragond/src/catalogue/follower.rs
+++ b/crates/tarragond/src/catalogue/follower.rs
@@ -40,8 +40,8 @@
 pub struct CatalogueFollowerParts {
     /// The copy that the rest of the node reads.
     pub copy: watch::Sender<Arc<Catalogue>>,
-    /// The log, whose catalogue a node with a replica copies directly.
-    pub log: Arc<dyn ControlLog>,
+    /// The log through the replica of this node, whose catalogue is copied directly.
+    pub log: Option<Arc<dyn ControlLog>>,
     /// Where to fetch changes from.
     pub sources: CatalogueSources,
     /// Highest revision that any member was heard to have.
@@ -155,7 +155,7 @@
         _kernel: Arc<Kernel>,
         stop: CancellationToken,
     ) -> Result<(), Report<KernelError>> {
-        let replica = self.parts.log.catalogue();
+        let replica = self.parts.log.as_ref().and_then(|log| log.catalogue());
         let follow_replica = async {
             match replica {
                 Some(replica) => self.follow_replica(replica).await,
--- a/crates/tarragond/src/control/api/api_context.rs
+++ b/crates/tarragond/src/control/api/api_context.rs
@@ -1,9 +1,11 @@
 use std::sync::Arc;
 
 use dropshot::ClientErrorStatusCode;
+use dropshot::ErrorStatusCode;
 use dropshot::HttpError;
 use dropshot::RequestContext;
 use http::header::AUTHORIZATION;
+use tarragon_consensus::driver::ReplicaHandle;
 use tarragon_model::identity::InstanceId;
 use tarragon_wire::DeploymentKey;
 use tracing::warn;
@@ -16,6 +18,7 @@
 use crate::control::GateView;
 use crate::control::OperatorKey;
 use crate::directory::Directory;
+use crate::replica::ReplicaAddresses;
 
 /// What the endpoints work with.
 pub struct ApiContext {
@@ -25,10 +28,14 @@
     pub instance: InstanceId,
     /// Its data centre.
     pub data_centre: String,
-    /// Whether it holds a control replica.
-    pub is_replica: bool,
-    /// The replicated log.
+    /// The control replica of this node, if it holds one.
+    pub replica: Option<ReplicaHandle>,
+    /// Where to find the control replicas.
+    pub replica_addresses: ReplicaAddresses,
+    /// The replicated log, through whichever replica leads it.
     pub log: Arc<dyn ControlLog>,
+    /// The replicated log through the replica of this node, if it holds one.
+    pub own_log: Option<Arc<dyn ControlLog>>,
     /// The node's view of the deployment.
     pub directory: Arc<dyn Directory>,
     /// The node's own backend server.
@@ -47,20 +54,18 @@
     /// # Errors
     /// 503 if it certainly changed nothing, 504 if that is unknown.
     pub async fn ask(&self, request: &ControlRequest) -> Result<ControlAnswer, HttpError> {
-        self.log.request(request).await.map_err(|failure| match failure {
-            ControlFailure::OutcomeUnknown => {
-                let mut error = HttpError::for_unavail(None, failure.to_string());
-                error.status_code = dropshot::ErrorStatusCode::GATEWAY_TIMEOUT;
-                // The text of an unknown outcome is safe to show and tells operators what to do.
-                error.external_message = failure.to_string();
-                error
-            }
-            _ => {
-                let mut error = HttpError::for_unavail(None, failure.to_string());
-                error.external_message = failure.to_string();
-                error
-            }
-        })
+        self.log.request(request).await.map_err(|failure| self.error(&failure))
+    }
+
+    /// Builds the HTTP error for a request to the log that has no answer.
+    pub fn error(&self, failure: &ControlFailure) -> HttpError {
+        let mut error = HttpError::for_unavail(None, failure.to_string());
+        // Dropshot hides the cause of a server error; operators need this one.
+        error.external_message = failure.to_string();
+        if *failure == ControlFailure::OutcomeUnknown {
+            error.status_code = ErrorStatusCode::GATEWAY_TIMEOUT;
+        }
+        error
     }
 }
 
--- a/crates/tarragond/src/control/api/internal.rs
+++ b/crates/tarragond/src/control/api/internal.rs
@@ -40,10 +40,9 @@
         warn!("note: dropped a control request from {}: {e}", request.request.remote_addr());
         HttpError::for_client_error(None, ClientErrorStatusCode::FORBIDDEN, e.to_string())
     })?;
-    let reply: ControlReply = if context.is_replica {
-        context.log.request(&message).await
-    } else {
-        Err(ControlFailure::NotLeader { leader: None })
+    let reply: ControlReply = match &context.own_log {
+        Some(log) => log.request(&message).await,
+        None => Err(ControlFailure::NotLeader { leader: None }),
     };
     sealed(context, &reply)
 }
@@ -69,7 +68,8 @@
     sealed(context, members.as_ref())
 }
 
-fn sealed<T: Serialize>(
+/// A message for another node, authenticated with the deployment key.
+pub fn sealed<T: Serialize>(
     context: &ApiContext,
     message: &T,
 ) -> Result<HttpResponseOk<FreeformBody>, HttpError> {
--- a/crates/tarragond/src/control/api/mod.rs
+++ b/crates/tarragond/src/control/api/mod.rs
@@ -5,6 +5,7 @@
 mod backend;
 mod internal;
 mod notes;
+mod replicas;
 mod server;
 mod view;
 
--- /dev/null
+++ b/crates/tarragond/src/control/api/replicas.rs
@@ -0,0 +1,182 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dropshot::endpoint;
+use dropshot::FreeformBody;
+use dropshot::HttpError;
+use dropshot::HttpResponseOk;
+use dropshot::RequestContext;
+use dropshot::TypedBody;
+use futures_util::future::join_all;
+use http::Method;
+use tarragon_client::ControlClient;
+use tarragon_consensus::driver::ReplicaHandle;
+use tarragon_consensus::protocol::ReplicaId;
+use tarragon_model::api::InitRequest;
+use tarragon_model::api::ReplicaChangeAnswer;
+use tarragon_model::api::ReplicaEntry;
+use tarragon_model::api::ReplicaInfo;
+use tarragon_model::api::ReplicaName;
+use tarragon_wire::open;
+use tarragon_wire::Channel;
+use tracing::info;
+
+use crate::control::api::api_context::require_operator;
+use crate::control::api::internal::sealed;
+use crate::control::api::ApiContext;
+use crate::control::ControlFailure;
+use crate::control::ControlRequest;
+use crate::control::ReplicaChange;
+
+/// Time to wait for what one replica says of itself, in ms.
+const INFO_TIMEOUT_MS: u64 = 1_000;
+
+/// Tries to make a new replica a voter, which waits for it to catch up.
+const MAX_ADD_TRIES: usize = 20;
+
+/// Pause between two tries, in ms.
+const ADD_PAUSE_MS: u64 = 250;
+
+/// What the replica of this node says of itself, for other nodes.
+#[endpoint { method = GET, path = "/v1/replica" }]
+pub async fn own_replica(
+    request: RequestContext<Arc<ApiContext>>,
+) -> Result<HttpResponseOk<FreeformBody>, HttpError> {
+    let context = request.context();
+    sealed(context, &context.replica.as_ref().map(replica_info))
+}
+
+/// The known control replicas and what each says of itself.
+#[endpoint { method = GET, path = "/v1/replicas" }]
+pub async fn list_replicas(
+    request: RequestContext<Arc<ApiContext>>,
+) -> Result<HttpResponseOk<Vec<ReplicaEntry>>, HttpError> {
+    require_operator(&request)?;
+    Ok(HttpResponseOk(ask_replicas(request.context()).await))
+}
+
+/// Starts the replicated log with the replica of this node as its only voter.
+#[endpoint { method = POST, path = "/v1/replicas/init" }]
+pub async fn init_replicas(
+    request: RequestContext<Arc<ApiContext>>,
+    body: TypedBody<InitRequest>,
+) -> Result<HttpResponseOk<ReplicaChangeAnswer>, HttpError> {
+    require_operator(&request)?;
+    let is_forced = body.into_inner().force;
+    let context = request.context();
+    let Some(replica) = &context.replica else {
+        return Ok(refused("this node has no data_dir, so it cannot hold a replica".into()));
+    };
+    for entry in ask_replicas(context).await {
+        match entry.info {
+            Some(info) if info.voters.is_empty() && info.learners.is_empty() => {}
+            Some(_) => {
+                let cause = format!("the log exists already at {}; use 'replica add'", entry.name);
+                return Ok(refused(cause));
+            }
+            None if is_forced => {}
+            None => {
+                let cause = format!("{} does not answer and may hold the log", entry.name);
+                return Ok(refused(cause));
+            }
+        }
+    }
+    let own = replica.status().id;
+    info!("log: started by an operator with {own} as its only voter");
+    replica.bootstrap(vec![own]).await;
+    Ok(HttpResponseOk(ReplicaChangeAnswer::Done))
+}
+
+/// Adds a control replica: it gets the log, and votes once it has caught up.
+#[endpoint { method = POST, path = "/v1/replicas/add" }]
+pub async fn add_replica(
+    request: RequestContext<Arc<ApiContext>>,
+    body: TypedBody<ReplicaName>,
+) -> Result<HttpResponseOk<ReplicaChangeAnswer>, HttpError> {
+    require_operator(&request)?;
+    let context = request.context();
+    let name = body.into_inner().name;
+    let known = context.replica_addresses.control_addresses();
+    let Some((_, address)) = known.into_iter().find(|(known, _)| *known == name) else {
+        return Ok(refused(format!("no replica '{name}' is known; is its node running?")));
+    };
+    let Some(info) = ask_replica(context, address).await else {
+        return Ok(refused(format!("the replica '{name}' does not answer")));
+    };
+    let Ok(disk) = info.disk.parse() else {
+        return Ok(refused(format!("the replica '{name}' has a malformed disk id")));
+    };
+    let change = ReplicaChange::Add(ReplicaId::new(name.clone(), disk));
+    let mut answer = change_replicas(context, change.clone()).await?;
+    for _ in 0..MAX_ADD_TRIES {
+        if answer.0 == ReplicaChangeAnswer::Done {
+            info!("log: replica {name} was added by an operator");
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(ADD_PAUSE_MS)).await;
+        answer = change_replicas(context, change.clone()).await?;
+    }
+    Ok(answer)
+}
+
+/// Removes a control replica.
+#[endpoint { method = POST, path = "/v1/replicas/remove" }]
+pub async fn remove_replica(
+    request: RequestContext<Arc<ApiContext>>,
+    body: TypedBody<ReplicaName>,
+) -> Result<HttpResponseOk<ReplicaChangeAnswer>, HttpError> {
+    require_operator(&request)?;
+    let name = body.into_inner().name;
+    let answer = change_replicas(request.context(), ReplicaChange::Remove(name.clone())).await?;
+    info!("log: removal of replica {name} by an operator: {:?}", answer.0);
+    Ok(answer)
+}
+
+async fn change_replicas(
+    context: &ApiContext,
+    change: ReplicaChange,
+) -> Result<HttpResponseOk<ReplicaChangeAnswer>, HttpError> {
+    let request = ControlRequest::ChangeReplicas(change);
+    match context.log.request(&request).await {
+        Err(ControlFailure::Refused(cause)) => Ok(refused(cause)),
+        Err(failure) => Err(context.error(&failure)),
+        Ok(_) => Ok(HttpResponseOk(ReplicaChangeAnswer::Done)),
+    }
+}
+
+fn refused(cause: String) -> HttpResponseOk<ReplicaChangeAnswer> {
+    HttpResponseOk(ReplicaChangeAnswer::Refused { cause })
+}
+
+/// Asks all known replicas at once.
+async fn ask_replicas(context: &ApiContext) -> Vec<ReplicaEntry> {
+    let known = context.replica_addresses.control_addresses();
+    let ask = |(name, address)| async move {
+        ReplicaEntry { name, info: ask_replica(context, address).await }
+    };
+    join_all(known.into_iter().map(ask)).await
+}
+
+async fn ask_replica(context: &ApiContext, address: SocketAddr) -> Option<ReplicaInfo> {
+    let client = ControlClient::new(None, INFO_TIMEOUT_MS);
+    let reply = client.send(address, Method::GET, "/v1/replica", Bytes::new()).await.ok()?;
+    open(&context.deployment_key, Channel::Replica, &reply.body).ok()?
+}
+
+fn replica_info(replica: &ReplicaHandle) -> ReplicaInfo {
+    let status = replica.status();
+    ReplicaInfo {
+        name: status.id.name.clone(),
+        disk: status.id.disk.to_string(),
+        role: format!("{:?}", status.role).to_lowercase(),
+        term: status.term,
+        leader: status.leader.map(|leader| leader.to_string()),
+        commit_index: status.commit_index,
+        last_index: status.last_index,
+        snapshot_index: status.snapshot_index,
+        voters: status.configuration.voters.iter().map(ToString::to_string).collect(),
+        learners: status.configuration.learners.iter().map(ToString::to_string).collect(),
+    }
+}
--- a/crates/tarragond/src/control/api/server.rs
+++ b/crates/tarragond/src/control/api/server.rs
@@ -22,6 +22,7 @@
 use crate::control::api::backend;
 use crate::control::api::internal;
 use crate::control::api::notes;
+use crate::control::api::replicas;
 use crate::control::api::view;
 use crate::control::api::ApiContext;
 
@@ -74,6 +75,11 @@
         .and_then(|()| api.register(notes::submit_note))
         .and_then(|()| api.register(notes::list_notes))
         .and_then(|()| api.register(notes::note_status))
+        .and_then(|()| api.register(replicas::own_replica))
+        .and_then(|()| api.register(replicas::list_replicas))
+        .and_then(|()| api.register(replicas::init_replicas))
+        .and_then(|()| api.register(replicas::add_replica))
+        .and_then(|()| api.register(replicas::remove_replica))
         .and_then(|()| api.register(view::node_status))
         .and_then(|()| api.register(view::list_services))
         .and_then(|()| api.register(view::list_members))
--- a/crates/tarragond/src/control/api/view.rs
+++ b/crates/tarragond/src/control/api/view.rs
@@ -26,7 +26,7 @@
         instance: context.instance,
         data_centre: context.data_centre.clone(),
         revision: context.directory.catalogue().borrow().revision(),
-        is_replica: context.is_replica,
+        is_replica: context.replica.is_some(),
         backend: BackendReport {
             service: backend.service,
             state: backend.state,
--- a/crates/tarragond/src/control/control_log.rs
+++ b/crates/tarragond/src/control/control_log.rs
@@ -4,6 +4,7 @@
 use async_trait::async_trait;
 use serde::Deserialize;
 use serde::Serialize;
+use tarragon_consensus::protocol::ReplicaId;
 use tarragon_model::catalogue::Catalogue;
 use tokio::sync::watch;
 
@@ -18,6 +19,17 @@
     Propose(ControlCommand),
     /// A question, answered from state that a majority confirmed as current.
     Read(ControlQuery),
+    /// A change of the replicas themselves.
+    ChangeReplicas(ReplicaChange),
+}
+
+/// A change of one replica. Repeating a change that has taken effect does nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReplicaChange {
+    /// Send the log to a replica, and let it vote once it has caught up.
+    Add(ReplicaId),
+    /// Remove the replica of this name, whatever its disk.
+    Remove(String),
 }
 
 /// Why a control request has no answer.
@@ -34,6 +46,8 @@
     OutcomeUnknown,
     /// The state machine refused the request as malformed.
     Malformed,
+    /// The replicas refused the change; nothing was changed by it.
+    Refused(String),
 }
 
 impl fmt::Display for ControlFailure {
@@ -44,6 +58,7 @@
             Self::NoMajority => f.write_str("no majority of the control replicas can be reached"),
             Self::OutcomeUnknown => f.write_str("the change may or may not be accepted"),
             Self::Malformed => f.write_str("the request is malformed"),
+            Self::Refused(cause) => f.write_str(cause),
         }
     }
 }
--- a/crates/tarragond/src/control/control_state.rs
+++ b/crates/tarragond/src/control/control_state.rs
@@ -52,6 +52,8 @@
     Owner(InstanceId),
     /// The accepted notes.
     Notes(NoteList),
+    /// The replicas are as asked for.
+    ReplicasChanged,
 }
 
 /// The state machine behind the replicated log.
--- a/crates/tarragond/src/control/local_log.rs
+++ b/crates/tarragond/src/control/local_log.rs
@@ -5,6 +5,7 @@
 use tarragon_model::catalogue::Catalogue;
 use tokio::sync::watch;
 
+use crate::control::ControlFailure;
 use crate::control::ControlLog;
 use crate::control::ControlReply;
 use crate::control::ControlRequest;
@@ -30,6 +31,7 @@
         let answer = match request {
             ControlRequest::Propose(command) => state.apply(command),
             ControlRequest::Read(query) => state.query(query),
+            ControlRequest::ChangeReplicas(_) => return Err(ControlFailure::Malformed),
         };
         if self.catalogue.borrow().revision() != state.catalogue().revision() {
             self.catalogue.send_replace(Arc::new(state.catalogue().clone()));
--- a/crates/tarragond/src/control/mod.rs
+++ b/crates/tarragond/src/control/mod.rs
@@ -12,6 +12,7 @@
 pub use control_log::ControlLog;
 pub use control_log::ControlReply;
 pub use control_log::ControlRequest;
+pub use control_log::ReplicaChange;
 pub use control_state::ClaimKey;
 pub use control_state::ControlAnswer;
 pub use control_state::ControlCommand;
--- a/crates/tarragond/src/control/remote_log.rs
+++ b/crates/tarragond/src/control/remote_log.rs
@@ -1,4 +1,6 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -10,13 +12,14 @@
 use tarragon_wire::Channel;
 use tarragon_wire::DeploymentKey;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tracing::debug;
 
-use crate::conf::ControlReplica;
 use crate::control::ControlFailure;
 use crate::control::ControlLog;
 use crate::control::ControlReply;
 use crate::control::ControlRequest;
+use crate::replica::ReplicaAddresses;
 
 /// Path of the control requests between nodes.
 pub const CONTROL_REQUEST_PATH: &str = "/v1/control";
@@ -24,26 +27,53 @@
 /// Time to wait for one replica, in ms. It covers a synced write on a majority across data centres.
 const REPLICA_TIMEOUT_MS: u64 = 2_000;
 
-/// Rounds over the replicas before a request is given up; an election ends within one round.
-const MAX_ROUNDS: usize = 3;
+/// Time after which a request is given up, in ms. Two elections fit into it.
+const REQUEST_TIMEOUT_MS: u64 = 6_000;
 
-/// The replicated log as a node without a replica reaches it: over the control API of the replicas.
+/// Pause after every known replica was asked in vain, in ms.
+const ROUND_PAUSE_MS: u64 = 150;
+
+/// The replicated log as any node reaches it: over the control API of the replicas.
 pub struct RemoteLog {
-    replicas: Vec<ControlReplica>,
+    addresses: ReplicaAddresses,
     client: ControlClient,
     key: DeploymentKey,
 }
 
 impl RemoteLog {
-    /// Creates access by way of the given replicas.
-    pub fn new(replicas: Vec<ControlReplica>, key: DeploymentKey) -> Self {
-        Self { replicas, client: ControlClient::new(None, REPLICA_TIMEOUT_MS), key }
+    /// Creates access by way of the known replicas.
+    pub fn new(addresses: ReplicaAddresses, key: DeploymentKey) -> Self {
+        Self { addresses, client: ControlClient::new(None, REPLICA_TIMEOUT_MS), key }
+    }
+
+    /// Asks every known replica once, one that another names as leader next.
+    async fn ask_round(&self, request: &ControlRequest) -> ControlReply {
+        let mut replicas = self.addresses.control_addresses();
+        let mut failure = ControlFailure::NoMajority;
+        let mut next = 0;
+        while next < replicas.len() {
+            let address = replicas[next].1;
+            next += 1;
+            match self.ask(address, request).await {
+                Err(ControlFailure::NotLeader { leader }) => {
+                    let leader = leader.as_deref();
+                    let at =
+                        replicas[next..].iter().position(|(name, _)| Some(name.as_str()) == leader);
+                    if let Some(at) = at {
+                        replicas.swap(next, next + at);
+                    }
+                }
+                Err(ControlFailure::OutcomeUnknown) => failure = ControlFailure::OutcomeUnknown,
+                Err(ControlFailure::NoMajority) => {}
+                reply => return reply,
+            }
+        }
+        Err(failure)
     }
 
-    async fn ask(&self, replica: &ControlReplica, request: &ControlRequest) -> ControlReply {
+    async fn ask(&self, address: SocketAddr, request: &ControlRequest) -> ControlReply {
         let body = seal(&self.key, Channel::Replica, request);
         let body = body.map_err(|_| ControlFailure::Malformed)?;
-        let address = replica.control_address;
         let sent = self.client.send(address, Method::POST, CONTROL_REQUEST_PATH, Bytes::from(body));
         match sent.await {
             Ok(reply) if reply.status.is_success() => {
@@ -51,7 +81,7 @@
                     .unwrap_or(Err(ControlFailure::OutcomeUnknown))
             }
             Ok(reply) => {
-                debug!("note: replica {} answered {}", replica.node_name, reply.status);
+                debug!("note: replica at {address} answered {}", reply.status);
                 Err(ControlFailure::NotLeader { leader: None })
             }
             Err(report) if report.current_context().is_unsent() => {
@@ -67,22 +97,17 @@
     /// Asks the replicas in turn, the one that another names as leader first. Repeating a request
     /// is safe because the state machine answers a repeated command as it did the first.
     async fn request(&self, request: &ControlRequest) -> ControlReply {
-        let mut worst = ControlFailure::NoMajority;
-        let mut next = 0;
-        for _ in 0..self.replicas.len() * MAX_ROUNDS {
-            let replica = &self.replicas[next % self.replicas.len()];
-            next += 1;
-            match self.ask(replica, request).await {
-                Err(ControlFailure::NotLeader { leader }) => {
-                    let named = |r: &ControlReplica| Some(&r.node_name) == leader.as_ref();
-                    next = self.replicas.iter().position(named).unwrap_or(next);
-                }
-                Err(ControlFailure::OutcomeUnknown) => worst = ControlFailure::OutcomeUnknown,
-                Err(ControlFailure::NoMajority) => {}
+        let deadline = Instant::now() + Duration::from_millis(REQUEST_TIMEOUT_MS);
+        let mut failure = ControlFailure::NoMajority;
+        while Instant::now() < deadline {
+            match self.ask_round(request).await {
+                Err(ControlFailure::OutcomeUnknown) => failure = ControlFailure::OutcomeUnknown,
+                Err(ControlFailure::NotLeader { .. } | ControlFailure::NoMajority) => {}
                 reply => return reply,
             }
+            tokio::time::sleep(Duration::from_millis(ROUND_PAUSE_MS)).await;
         }
-        Err(worst)
+        Err(failure)
     }
 
     fn catalogue(&self) -> Option<watch::Receiver<Arc<Catalogue>>> {
--- a/crates/tarragond/src/lib.rs
+++ b/crates/tarragond/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod control;
 pub mod directory;
 pub mod members;
+pub mod replica;
--- a/crates/tarragond/src/members/full_state.rs
+++ b/crates/tarragond/src/members/full_state.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -21,6 +22,9 @@
 /// Time to wait for the full list, in ms.
 const FETCH_TIMEOUT_MS: u64 = 5_000;
 
+/// Longest wait for the record of the member to ask, in ms.
+const PUBLISH_TIMEOUT_MS: u64 = 1_000;
+
 /// Fetches the full list of members over the control API of another node.
 pub struct ControlFullState {
     members: watch::Receiver<Arc<Vec<MemberRecord>>>,
@@ -34,18 +38,28 @@
         Self { members, client: ControlClient::new(None, FETCH_TIMEOUT_MS), key }
     }
 
-    fn control_address(&self, peer: SocketAddr) -> Option<SocketAddr> {
-        let members = self.members.borrow();
-        members.iter().find(|m| m.peer_address == peer).map(|m| m.control_address)
+    /// Waits a moment for the member, whose record may not be published yet.
+    async fn control_address(&self, peer: SocketAddr) -> Option<SocketAddr> {
+        let mut members = self.members.clone();
+        let is_known = |members: &Arc<Vec<MemberRecord>>| find(members, peer).is_some();
+        let limit = Duration::from_millis(PUBLISH_TIMEOUT_MS);
+        let published = tokio::time::timeout(limit, members.wait_for(is_known)).await;
+        let members = published.ok()?.ok()?;
+        find(&members, peer).map(|member| member.control_address)
     }
 }
 
+fn find(members: &[MemberRecord], peer: SocketAddr) -> Option<&MemberRecord> {
+    members.iter().find(|member| member.peer_address == peer)
+}
+
 #[async_trait]
 impl FullStateSource for ControlFullState {
     async fn fetch(&self, peer: SocketAddr) -> Result<Vec<MemberRecord>, Report<FetchError>> {
         let failure = |step| FetchError { peer, step };
         let address = self
             .control_address(peer)
+            .await
             .ok_or_else(|| Report::new(failure("the member is not known")))?;
         let reply = self.client.send(address, Method::GET, FULL_STATE_PATH, Bytes::new()).await;
         let reply = reply.change_context(failure("no answer"))?;
--- /dev/null
+++ b/crates/tarragond/src/replica/control_machine.rs
@@ -0,0 +1,63 @@
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use error_stack::Report;
+use tarragon_consensus::RestoreError;
+use tarragon_consensus::StateMachine;
+use tarragon_model::catalogue::Catalogue;
+use tokio::sync::watch;
+
+use crate::control::ControlCommand;
+use crate::control::ControlFailure;
+use crate::control::ControlReply;
+use crate::control::ControlState;
+
+/// State that the replica task writes and the control API reads.
+pub type SharedControlState = Arc<Mutex<ControlState>>;
+
+/// Adapts the control state to the replicated log and publishes its catalogue.
+pub struct ControlMachine {
+    state: SharedControlState,
+    catalogue: watch::Sender<Arc<Catalogue>>,
+}
+
+impl ControlMachine {
+    /// Creates the machine, the state that it shares and the channel of its catalogue.
+    pub fn new() -> (Self, SharedControlState, watch::Receiver<Arc<Catalogue>>) {
+        let state = SharedControlState::default();
+        let (catalogue, receiver) = watch::channel(Arc::default());
+        (Self { state: Arc::clone(&state), catalogue }, state, receiver)
+    }
+
+    fn publish(&self, state: &ControlState) {
+        if self.catalogue.borrow().revision() != state.catalogue().revision() {
+            self.catalogue.send_replace(Arc::new(state.catalogue().clone()));
+        }
+    }
+}
+
+impl StateMachine for ControlMachine {
+    fn apply(&mut self, _index: u64, command: &[u8]) -> Vec<u8> {
+        let mut state = self.state.lock().expect("no holder of the lock panics");
+        let reply: ControlReply = match postcard::from_bytes::<ControlCommand>(command) {
+            Ok(command) => Ok(state.apply(&command)),
+            Err(_) => Err(ControlFailure::Malformed),
+        };
+        self.publish(&state);
+        postcard::to_stdvec(&reply).expect("a reply can be encoded")
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        let state = self.state.lock().expect("no holder of the lock panics");
+        postcard::to_stdvec(&*state).expect("the state can be encoded")
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), Report<RestoreError>> {
+        let restored: ControlState = postcard::from_bytes(snapshot)
+            .map_err(|e| Report::new(RestoreError(format!("malformed control state: {e}"))))?;
+        let mut state = self.state.lock().expect("no holder of the lock panics");
+        *state = restored;
+        self.publish(&state);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/tarragond/src/replica/listener.rs
@@ -0,0 +1,70 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use tarragon_consensus::driver::ReplicaHandle;
+use tarragon_consensus::protocol::Message;
+use tarragon_wire::frame_codec;
+use tarragon_wire::open;
+use tarragon_wire::Channel;
+use tarragon_wire::DeploymentKey;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio_util::codec::Framed;
+use tracing::debug;
+use tracing::warn;
+
+/// Most connections from replicas at once, several times the number of replicas.
+const MAX_CONNECTIONS: usize = 64;
+
+/// Time without a message after which a connection is closed, in ms.
+const IDLE_TIMEOUT_MS: u64 = 30_000;
+
+/// Pause after the operating system refused to accept a connection, in ms.
+const ACCEPT_PAUSE_MS: u64 = 100;
+
+/// Takes messages from other replicas until dropped; its connections end with it.
+pub async fn run_listener(listener: TcpListener, replica: ReplicaHandle, key: DeploymentKey) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, from)) if connections.len() < MAX_CONNECTIONS => {
+                    connections.spawn(serve(stream, from, replica.clone(), key.clone()));
+                }
+                Ok((_, from)) => warn!("log: too many connections, closed the one from {from}"),
+                Err(e) => {
+                    warn!("log: cannot accept a connection: {e}");
+                    tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+/// Reads messages and acknowledges each with an empty frame. A connection whose message is not
+/// authentic is closed, since nothing after it can be trusted.
+async fn serve(stream: TcpStream, from: SocketAddr, replica: ReplicaHandle, key: DeploymentKey) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let mut frames = Framed::new(stream, frame_codec());
+    let idle = Duration::from_millis(IDLE_TIMEOUT_MS);
+    while let Ok(Some(Ok(frame))) = tokio::time::timeout(idle, frames.next()).await {
+        match open::<Message>(&key, Channel::Replica, &frame) {
+            Ok(message) => replica.receive(message),
+            Err(e) => {
+                warn!("log: closed the connection from {from}: {e}");
+                return;
+            }
+        }
+        if frames.send(Bytes::new()).await.is_err() {
+            break;
+        }
+    }
+    debug!("log: connection from {from} ended");
+}
--- /dev/null
+++ b/crates/tarragond/src/replica/replica_addresses.rs
@@ -0,0 +1,43 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::conf::ControlReplica;
+use crate::directory::Directory;
+
+/// Finds the addresses of control replicas by the names of their nodes.
+///
+/// Membership goes first, since a replica that joined later is in no node's settings.
+#[derive(Clone)]
+pub struct ReplicaAddresses {
+    directory: Arc<dyn Directory>,
+    configured: Vec<ControlReplica>,
+}
+
+impl ReplicaAddresses {
+    /// Looks up members first and the configured replicas after them.
+    pub fn new(directory: Arc<dyn Directory>, configured: Vec<ControlReplica>) -> Self {
+        Self { directory, configured }
+    }
+
+    /// Address of a replica for other replicas.
+    pub fn replica_address(&self, name: &str) -> Option<SocketAddr> {
+        let members = self.directory.members().borrow().clone();
+        let member = members.iter().find(|m| m.node == name).and_then(|m| m.replica_address);
+        let configured = self.configured.iter().find(|r| r.node_name == name);
+        member.or(configured.map(|r| r.replica_address))
+    }
+
+    /// Known replicas with the addresses of their control API, each once.
+    pub fn control_addresses(&self) -> Vec<(String, SocketAddr)> {
+        let members = self.directory.members().borrow().clone();
+        let replicas = members.iter().filter(|m| m.replica_address.is_some());
+        let mut known: Vec<(String, SocketAddr)> =
+            replicas.map(|m| (m.node.clone(), m.control_address)).collect();
+        for replica in &self.configured {
+            if !known.iter().any(|(name, _)| *name == replica.node_name) {
+                known.push((replica.node_name.clone(), replica.control_address));
+            }
+        }
+        known
+    }
+}
--- /dev/null
+++ b/crates/tarragond/src/replica/tcp_transport.rs
@@ -0,0 +1,65 @@
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+use bytes::Bytes;
+use tarragon_consensus::driver::Transport;
+use tarragon_consensus::protocol::Message;
+use tarragon_wire::seal;
+use tarragon_wire::Channel;
+use tarragon_wire::DeploymentKey;
+use tokio::sync::mpsc;
+use tokio_util::task::TaskTracker;
+use tracing::warn;
+
+use crate::replica::peer_sender::PeerSender;
+use crate::replica::ReplicaAddresses;
+
+/// Messages that wait for one replica at most; the log repeats what is dropped beyond that.
+const QUEUE_CAPACITY: usize = 256;
+
+/// Carries messages to other replicas over TCP.
+pub struct TcpTransport {
+    addresses: ReplicaAddresses,
+    key: DeploymentKey,
+    tasks: TaskTracker,
+    queues: Mutex<HashMap<String, mpsc::Sender<Bytes>>>,
+}
+
+impl TcpTransport {
+    /// Creates a transport; its connections run as tasks of `tasks`.
+    pub fn new(addresses: ReplicaAddresses, key: DeploymentKey, tasks: TaskTracker) -> Self {
+        Self { addresses, key, tasks, queues: Mutex::default() }
+    }
+
+    /// Closes all queues, which ends the connections.
+    pub fn close(&self) {
+        self.queues.lock().expect("no holder of the lock panics").clear();
+    }
+
+    fn start_sender(&self, name: &str) -> mpsc::Sender<Bytes> {
+        let (sender, queue) = mpsc::channel(QUEUE_CAPACITY);
+        let peer = PeerSender { name: name.into(), addresses: self.addresses.clone(), queue };
+        self.tasks.spawn(peer.run());
+        sender
+    }
+}
+
+impl Transport for TcpTransport {
+    fn send(&self, peer: &str, message: Message) {
+        if self.tasks.is_closed() {
+            return;
+        }
+        let bytes = match seal(&self.key, Channel::Replica, &message) {
+            Ok(bytes) => Bytes::from(bytes),
+            Err(e) => {
+                warn!("log: cannot send a message to {peer}: {e}");
+                return;
+            }
+        };
+        let mut queues = self.queues.lock().expect("no holder of the lock panics");
+        let queue =
+            queues.entry(peer.to_string()).or_insert_with_key(|name| self.start_sender(name));
+        // A full queue means that the peer is too slow; the log repeats what matters.
+        let _ = queue.try_send(bytes);
+    }
+}
