--- a/crates/tarragond/src/app/node.rs
+++ b/crates/tarragond/src/app/node.rs
@@ -17,22 +17,29 @@
 use tracing::info;
 use tracing::warn;
 
+use crate::app::late_gate::LateGate;
 use crate::app::logging::start_logging;
+use crate::app::policies::policies;
 use crate::app::shutdown::stop_requested;
+use crate::app::statsd::StatsdMetrics;
 use crate::app::AppError;
 use crate::backend::Announcements;
 use crate::backend::OwnBackend;
 use crate::catalogue::CatalogueFollower;
 use crate::catalogue::CatalogueFollowerParts;
 use crate::catalogue::CatalogueSources;
+use crate::claims::LogClaims;
 use crate::conf::Settings;
 use crate::control::api::ApiContext;
 use crate::control::api::ControlApi;
 use crate::control::ControlLog;
-use crate::control::GateReport;
-use crate::control::GateView;
 use crate::control::OperatorKey;
 use crate::control::RemoteLog;
+use crate::datapath::DataPath;
+use crate::datapath::DataPathSettings;
+use crate::datapath::Environment;
+use crate::datapath::Metrics;
+use crate::datapath::NoMetrics;
 use crate::directory::Directory;
 use crate::directory::DirectoryWatch;
 use crate::members::MembershipService;
@@ -50,13 +57,9 @@
 /// goes on with what it has.
 const READY_TIMEOUT_MS: u64 = 15_000;
 
-struct NoGate;
-
-impl GateView for NoGate {
-    fn report(&self) -> GateReport {
-        GateReport::default()
-    }
-}
+/// Time between the start of the drain and the end of listening, in ms; membership needs about a
+/// second to tell the other nodes.
+const DRAIN_NOTICE_MS: u64 = 1_500;
 
 /// Runs a node until SIGTERM or SIGINT, then drains it.
 ///
@@ -68,12 +71,15 @@
     runtime.block_on(async { Node::build(settings).await?.run().await })
 }
 
-/// The parts of a node that run from start to stop.
+/// The control side of a node, and what its data path will be built from.
 struct Node {
+    settings: Settings,
     announcements: Arc<Announcements>,
     membership: Arc<MembershipService>,
     copy: watch::Receiver<Arc<Catalogue>>,
     wanted: watch::Receiver<u64>,
+    gate: Arc<LateGate>,
+    environment: Environment,
     control_services: Vec<Arc<dyn Service>>,
 }
 
@@ -124,18 +130,21 @@
             instance,
             poll_interval_ms: CATALOGUE_POLL_INTERVAL_MS,
         });
+        let log: Arc<dyn ControlLog> =
+            Arc::new(RemoteLog::new(addresses.clone(), deployment_key.clone()));
+        let gate = Arc::new(LateGate::default());
         let context = ApiContext {
             node_name: settings.node_name.clone(),
             instance,
             data_centre: settings.data_centre.clone(),
             replica: replica.as_ref().map(|replica| replica.handle().clone()),
-            replica_addresses: addresses.clone(),
-            log: Arc::new(RemoteLog::new(addresses, deployment_key.clone())),
+            replica_addresses: addresses,
+            log: Arc::clone(&log),
             own_log,
-            directory,
+            directory: Arc::clone(&directory),
             announcements: Arc::clone(&announcements),
-            gate: Arc::new(NoGate),
-            deployment_key,
+            gate: Arc::clone(&gate) as _,
+            deployment_key: deployment_key.clone(),
             operator_key,
         };
         let api = ControlApi::bind(settings.listen.control_address, context)
@@ -148,32 +157,76 @@
             Arc::new(api),
         ];
         control_services.extend(replica.map(|replica| Arc::new(replica) as Arc<dyn Service>));
-        Ok(Self { announcements, membership, copy, wanted, control_services })
+        let environment = Environment {
+            instance,
+            key: deployment_key,
+            directory,
+            backend: Arc::clone(&announcements) as _,
+            claims: Arc::new(LogClaims::new(log, settings.limits.key_retention_s)),
+            metrics: metrics(&settings)?,
+            extension: None,
+        };
+        Ok(Self {
+            settings,
+            announcements,
+            membership,
+            copy,
+            wanted,
+            gate,
+            environment,
+            control_services,
+        })
     }
 
+    /// Runs the control side, and the data path from readiness to the end of the drain.
     async fn run(self) -> Result<(), Report<AppError>> {
         let kernel = Arc::new(Kernel::new());
-        let stop = CancellationToken::new();
-        let running = kernel.run(self.control_services.clone(), stop.clone());
+        let control_stop = CancellationToken::new();
+        let control = Arc::clone(&kernel).run(self.control_services.clone(), control_stop.clone());
+        let data = async {
+            let result = self.run_data_path(kernel, &control_stop).await;
+            control_stop.cancel();
+            result
+        };
+        let (control, data) = tokio::join!(control, data);
+        control.change_context(AppError::Run).and(data)
+    }
+
+    async fn run_data_path(
+        self,
+        kernel: Arc<Kernel>,
+        control_stop: &CancellationToken,
+    ) -> Result<(), Report<AppError>> {
+        tokio::select! {
+            () = self.ready() => {}
+            () = control_stop.cancelled() => return Ok(()),
+            () = stop_requested() => return Ok(()),
+        }
+        let settings = data_path_settings(&self.settings);
+        let policies = policies(&self.settings, self.environment.instance);
+        let data_path = DataPath::bind(settings, self.environment, policies)
+            .await
+            .change_context(AppError::Bind("data path"))?;
+        self.gate.set(data_path.gate());
+        let revision = self.copy.borrow().revision();
+        info!("kernel: callers are served, revision {revision} is in force");
+        let data_stop = CancellationToken::new();
+        let running = kernel.run(data_path.services(), data_stop.clone());
         let stopping = async {
-            stop_requested().await;
+            tokio::select! {
+                () = stop_requested() => {}
+                () = control_stop.cancelled() => {}
+            }
             info!("drain: stop requested");
             self.announcements.set_drain(true);
-            stop.cancel();
+            // Other nodes learn of the drain before the listeners close.
+            tokio::time::sleep(Duration::from_millis(DRAIN_NOTICE_MS)).await;
+            data_path.gate().idle().await;
+            info!("drain: no request is in progress");
+            data_stop.cancel();
         };
-        let readying = async {
-            self.ready().await;
-            info!(
-                "kernel: revision {} is in force, callers are served",
-                self.copy.borrow().revision()
-            );
-            stopping.await;
-            std::future::pending::<()>().await;
-        };
-        tokio::select! {
-            result = running => result.change_context(AppError::Run),
-            () = readying => Ok(()),
-        }
+        let (result, ()) = tokio::join!(running, stopping);
+        result.change_context(AppError::Run)
     }
 
     /// Waits until the node has joined and its catalogue has reached every revision it heard of.
@@ -199,6 +252,31 @@
     }
 }
 
+fn metrics(settings: &Settings) -> Result<Arc<dyn Metrics>, Report<AppError>> {
+    Ok(match settings.statsd_address {
+        Some(address) => Arc::new(StatsdMetrics::open(address, &settings.node_name)?),
+        None => Arc::new(NoMetrics),
+    })
+}
+
+fn data_path_settings(settings: &Settings) -> DataPathSettings {
+    let (listen, limits) = (&settings.listen, &settings.limits);
+    let addresses = [listen.caller_address, listen.exit_address, listen.peer_address];
+    DataPathSettings {
+        retry_tokens: limits.retry_tokens,
+        max_header_bytes: limits.max_head_bytes as usize,
+        long_work_ms: limits.long_work_ms,
+        max_backend_connections: limits.max_backend_connections as usize,
+        heartbeat_timeout_ms: limits.heartbeat_timeout_ms,
+        ..DataPathSettings::new(
+            &settings.node_name,
+            &settings.data_centre,
+            &settings.region,
+            addresses,
+        )
+    }
+}
+
 async fn open_replica(
     settings: &Settings,
     addresses: &ReplicaAddresses,
--- /dev/null
+++ b/crates/tarragond/src/app/statsd.rs
@@ -0,0 +1,54 @@
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::time::Duration;
+
+use cadence::BufferedUdpMetricSink;
+use cadence::Counted;
+use cadence::QueuingMetricSink;
+use cadence::StatsdClient;
+use cadence::Timed;
+use error_stack::Report;
+use error_stack::ResultExt;
+
+use crate::app::AppError;
+use crate::datapath::Metrics;
+
+/// Prefix of every metric.
+const PREFIX: &str = "tarragon";
+
+/// Metrics that wait to be sent at most; those beyond it are dropped, since a metric must never
+/// hold up a call.
+const QUEUE_CAPACITY: usize = 65_536;
+
+/// Sends metrics to a StatsD address.
+pub struct StatsdMetrics {
+    client: StatsdClient,
+}
+
+impl StatsdMetrics {
+    /// Opens a socket to the address. Every metric carries the name of the node as a tag.
+    ///
+    /// # Errors
+    /// The socket cannot be opened.
+    pub fn open(address: SocketAddr, node: &str) -> Result<Self, Report<AppError>> {
+        let any = if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+        let socket = UdpSocket::bind(any).change_context(AppError::Bind("metrics"))?;
+        socket.set_nonblocking(true).change_context(AppError::Bind("metrics"))?;
+        let udp = BufferedUdpMetricSink::from(address, socket)
+            .change_context(AppError::Bind("metrics"))?;
+        let sink = QueuingMetricSink::with_capacity(udp, QUEUE_CAPACITY);
+        let client = StatsdClient::builder(PREFIX, sink).with_tag("node", node).build();
+        Ok(Self { client })
+    }
+}
+
+impl Metrics for StatsdMetrics {
+    fn count(&self, name: &'static str, amount: u64) {
+        // A metric that cannot be queued is lost.
+        let _ = self.client.count(name, i64::try_from(amount).unwrap_or(i64::MAX));
+    }
+
+    fn time_us(&self, name: &'static str, span_us: u64) {
+        let _ = self.client.time(name, Duration::from_micros(span_us));
+    }
+}
--- /dev/null
+++ b/crates/tarragond/src/claims/log_claims.rs
@@ -0,0 +1,48 @@
+use std::sync::Arc;
+use std::time::SystemTime;
+
+use async_trait::async_trait;
+use tarragon_model::identity::InstanceId;
+
+use crate::claims::ClaimError;
+use crate::claims::KeyClaims;
+use crate::control::ClaimKey;
+use crate::control::ControlAnswer;
+use crate::control::ControlCommand;
+use crate::control::ControlLog;
+use crate::control::ControlRequest;
+
+/// Claims keys in the replicated log.
+pub struct LogClaims {
+    log: Arc<dyn ControlLog>,
+    retention_s: u64,
+}
+
+impl LogClaims {
+    /// Claims are kept for `retention_s`, in s.
+    pub fn new(log: Arc<dyn ControlLog>, retention_s: u64) -> Self {
+        Self { log, retention_s }
+    }
+}
+
+#[async_trait]
+impl KeyClaims for LogClaims {
+    async fn claim(
+        &self,
+        service: &str,
+        key: &str,
+        wanted: InstanceId,
+    ) -> Result<InstanceId, ClaimError> {
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let command = ControlCommand::Claim {
+            key: ClaimKey { service: service.into(), key: key.into() },
+            wanted,
+            now_s: now.as_secs(),
+            retention_s: self.retention_s,
+        };
+        match self.log.request(&ControlRequest::Propose(command)).await {
+            Ok(ControlAnswer::Owner(owner)) => Ok(owner),
+            _ => Err(ClaimError::Unavailable),
+        }
+    }
+}
--- a/crates/tarragond/src/gate/gate_service.rs
+++ b/crates/tarragond/src/gate/gate_service.rs
@@ -6,6 +6,7 @@
 use tarragon_kernel::Kernel;
 use tarragon_kernel::KernelError;
 use tarragon_kernel::Service;
+use tarragon_model::member::BackendState;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -27,12 +28,18 @@
         Self { gate, listeners }
     }
 
-    /// Passes what the backend server announces to the admission policy.
+    /// Passes what the backend server announces to the policies.
     async fn follow_status(&self) {
         let mut status = self.gate.status.clone();
         loop {
-            let slots = status.borrow_and_update().slots;
+            let (slots, state) = {
+                let status = status.borrow_and_update();
+                (status.slots, status.state)
+            };
             self.gate.desk.set_slots(slots);
+            let is_draining = state == BackendState::Draining;
+            self.gate.keys.set_drain(is_draining);
+            self.gate.desk.set_drain(is_draining);
             if status.changed().await.is_err() {
                 // The announcements ended with their service; the last status stays.
                 std::future::pending::<()>().await;
--- a/crates/tarragond/tests/datapath/support/cluster.rs
+++ b/crates/tarragond/tests/datapath/support/cluster.rs
@@ -197,6 +197,8 @@
             region: "south".into(),
             gossip_address: peer,
             peer_address: relay.map_or(peer, |relay| relay(peer)),
+            control_address: peer,
+            replica_address: None,
             service: if backend.is_some() { "counter".into() } else { String::new() },
             state: if backend.is_some() { BackendState::Ready } else { BackendState::Absent },
             version: 1,
--- a/examples/quickstart.sh
+++ b/examples/quickstart.sh
@@ -73,8 +73,11 @@
 ctl() { "$bin/tarragonctl" --key-file "$work/operator.key" --node "$@"; }
 for port in 17104 17114 17124; do until_ok ctl 127.0.0.1:$port status; done
 
-say "submit a release note"
+say "start the replicated log at its only control replica"
+ctl 127.0.0.1:17104 replica init
 until_ok ctl 127.0.0.1:17124 note list
+
+say "submit a release note"
 ctl 127.0.0.1:17124 note submit examples/note.json
 is_in_force() { ctl 127.0.0.1:17104 note status first-services | grep -c 'in force at \([0-9]*\) of \1 ' | grep -qx 2; }
 until_ok is_in_force
