Bound retries by tokens, by ratio and by caller

Cause: the retry policy was only a trait; nothing bounded the retries of a call tree or of a caller.

Change: TokenLedger keeps tokens by span and a sliding ratio by service. A call carries half of the span's tokens, rounded up. CallerThrottle bounds the failing requests of a caller, apart by rank. NaiveRetry is the baseline.

Ruled out: lending all tokens, because a lost callee then leaves the hop above without a retry; one bucket per caller over all ranks, because refused requests of a low rank would hold back important ones; charging the caller on admission, because it limits the requests in flight of a healthy caller.

NaiveRetry breaks the chain bound at every depth from 2 to 21.

--- a/crates/policy/src/retry/mod.rs
+++ b/crates/policy/src/retry/mod.rs
@@ -1,5 +1,19 @@
-//! Bounds the retries of a request across its whole call tree.
+//! Bounds the retries of a request across its whole call tree, and those of a caller.
 
+mod caller_throttle;
+mod generations;
+mod naive_retry;
 mod policy;
+mod ratio_window;
+mod settings;
+mod token_ledger;
 
+#[cfg(test)]
+mod tests;
+
+pub use caller_throttle::CallerThrottle;
+pub use naive_retry::NaiveRetry;
 pub use policy::RetryPolicy;
+pub use settings::RetrySettings;
+pub use settings::ThrottleSettings;
+pub use token_ledger::TokenLedger;
--- /dev/null
+++ b/crates/policy/src/retry/naive_retry.rs
@@ -0,0 +1,42 @@
+use std::collections::HashMap;
+
+use tarragon_model::identity::SpanId;
+
+use crate::retry::RetryPolicy;
+
+/// Retries that every hop makes on its own.
+const RETRIES_PER_CALL: u32 = 3;
+
+/// Baseline: every hop retries each of its calls up to 3 times, whatever the other hops do.
+///
+/// A chain of depth d whose last hop fails makes 4^d attempts there.
+#[derive(Debug, Default)]
+pub struct NaiveRetry {
+    retries: HashMap<SpanId, HashMap<String, u32>>,
+}
+
+impl RetryPolicy for NaiveRetry {
+    fn open(&mut self, span: SpanId, _tokens: u32) {
+        self.retries.insert(span, HashMap::new());
+    }
+
+    fn attempted(&mut self, _service: &str, _now_us: u64) {}
+
+    fn take(&mut self, span: SpanId, service: &str, _now_us: u64) -> bool {
+        let Some(calls) = self.retries.get_mut(&span) else { return false };
+        let retries = calls.entry(service.to_string()).or_default();
+        *retries += 1;
+        *retries <= RETRIES_PER_CALL
+    }
+
+    fn lend(&mut self, _span: SpanId) -> u32 {
+        0
+    }
+
+    fn give_back(&mut self, _span: SpanId, _unused: u32) {}
+
+    fn close(&mut self, span: SpanId) -> u32 {
+        self.retries.remove(&span);
+        0
+    }
+}
