Run keyed requests at most once at a gate

Cause: the at-most-once policy was only a trait.

Change: KeyTable records a key before its run, repeats stored answers to the same caller and request only, and keeps an exact record of 8 to 9 bytes for each issued key that lost its full record. At its memory bound it drops the oldest answers and, if that is not enough, closes for unseen keys. NaiveOnce is the baseline.

Ruled out: a hash set for the compact records, because it doubles and so needs up to 20 bytes per key; forgetting issued keys after their retention, because a late copy would run again; refusing unseen keys only while memory is short, because a late copy of a key refused as not-run could run afterwards.

Open: the setting is_refused_key_void.

--- a/crates/policy/src/once/mod.rs
+++ b/crates/policy/src/once/mod.rs
@@ -1,10 +1,20 @@
 //! Runs a keyed request at most once.
 
+mod key_table;
+mod naive_once;
+mod nonce_set;
 mod policy;
+mod settings;
 
+#[cfg(test)]
+mod tests;
+
+pub use key_table::KeyTable;
+pub use naive_once::NaiveOnce;
 pub use policy::CallerDigest;
 pub use policy::OnceEnd;
 pub use policy::OncePolicy;
 pub use policy::OnceVerdict;
 pub use policy::RequestDigest;
 pub use policy::StoredAnswer;
+pub use settings::OnceSettings;
--- /dev/null
+++ b/crates/policy/src/once/naive_once.rs
@@ -0,0 +1,44 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use tarragon_model::identity::IdempotencyKey;
+
+use crate::once::CallerDigest;
+use crate::once::OnceEnd;
+use crate::once::OncePolicy;
+use crate::once::OnceVerdict;
+use crate::once::RequestDigest;
+use crate::once::StoredAnswer;
+
+/// Baseline: a map from key to answer that knows a key only after its answer.
+///
+/// A copy that arrives during the run, after a lost answer or at another instance runs again.
+#[derive(Debug, Default)]
+pub struct NaiveOnce {
+    answers: HashMap<IdempotencyKey, Arc<StoredAnswer>>,
+}
+
+impl OncePolicy for NaiveOnce {
+    fn begin(
+        &mut self,
+        key: &IdempotencyKey,
+        _caller: &CallerDigest,
+        _request: &RequestDigest,
+        _now_us: u64,
+    ) -> OnceVerdict {
+        match self.answers.get(key) {
+            Some(answer) => OnceVerdict::Repeat(answer.clone()),
+            None => OnceVerdict::Run,
+        }
+    }
+
+    fn finish(&mut self, key: &IdempotencyKey, end: OnceEnd, _now_us: u64) {
+        if let OnceEnd::Answered(answer) = end {
+            self.answers.insert(key.clone(), Arc::new(answer));
+        }
+    }
+
+    fn set_drain(&mut self, _is_draining: bool, _now_us: u64) {}
+
+    fn expire(&mut self, _now_us: u64) {}
+}
