--- a/crates/policy/src/once/key_table.rs
+++ b/crates/policy/src/once/key_table.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::mem;
 use std::sync::Arc;
 
 use tarragon_model::call::Reason;
@@ -15,9 +16,10 @@
 use crate::once::RequestDigest;
 use crate::once::StoredAnswer;
 
-/// Memory charged for a key with a full record, in bytes: 80 for the map entry and 32 for the
-/// queue entry, each doubled because both structures double when they grow, and one control byte.
-const RECORD_BYTES: usize = 232;
+/// Memory charged for a key with a full record, in bytes: a map entry of 65 and a queue entry of 24,
+/// where a map that has just doubled is 7/16 full and a queue half full.
+const RECORD_BYTES: usize = 200;
+const _: () = assert!(mem::size_of::<(TableKey, Record)>() <= 64);
 /// Memory charged for a kept answer beyond its texts, and for each header, in bytes.
 const ANSWER_BYTES: usize = 112;
 const HEADER_BYTES: usize = 48;
@@ -48,7 +50,7 @@
 
 /// Key table of one gate instance, see `docs/design.md`, section 3.6.
 ///
-/// A key has a full record (about 230 bytes, the text of a foreign key and its answer) until
+/// A key has a full record (about 200 bytes, the text of a foreign key and its answer) until
 /// `key_retention_s` after its run. Then a foreign key is forgotten, since its claim has expired
 /// before, and an issued key leaves its nonce (8 to 9 bytes) for as long as the instance lives.
 /// When the memory is used up, the oldest records lose their answers first. When that is not
--- a/crates/policy/src/once/tests.rs
+++ b/crates/policy/src/once/tests.rs
@@ -25,7 +25,7 @@
 type Schedule = Vec<(u8, u8, u8)>;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-struct Copy {
+struct Delivery {
     key: usize,
     caller: u8,
     request: u8,
@@ -41,7 +41,7 @@
 struct Gate {
     instance: InstanceId,
     table: Box<dyn OncePolicy>,
-    waiting: Vec<Copy>,
+    waiting: Vec<Delivery>,
     is_draining: bool,
 }
 
@@ -58,9 +58,9 @@
     make: fn(InstanceId) -> Box<dyn OncePolicy>,
     gates: Vec<Gate>,
     keys: Vec<Key>,
-    under_way: Vec<Copy>,
-    running: Vec<(usize, Copy)>,
-    records: HashMap<Copy, Record>,
+    under_way: Vec<Delivery>,
+    running: Vec<(usize, Delivery)>,
+    records: HashMap<Delivery, Record>,
     instances: u64,
     now_s: u64,
     has_wrong_answer: bool,
@@ -106,7 +106,7 @@
                 0..=2 => {
                     let key = at as usize % self.keys.len();
                     let (caller, request) = (u8::from(how % 8 == 0), u8::from(how % 9 == 0));
-                    self.under_way.push(Copy { key, caller, request });
+                    self.under_way.push(Delivery { key, caller, request });
                 }
                 3..=6 if !self.under_way.is_empty() => {
                     let copy = self.under_way.swap_remove(at as usize % self.under_way.len());
@@ -143,7 +143,7 @@
     }
 
     /// A copy reaches a gate through some entry.
-    fn arrive(&mut self, copy: Copy, how: u8) {
+    fn arrive(&mut self, copy: Delivery, how: u8) {
         let key = &mut self.keys[copy.key];
         let is_issued = matches!(key.text, IdempotencyKey::Issued { .. });
         let mut gate = key.gate;
@@ -161,7 +161,7 @@
         self.offer(gate, copy, how);
     }
 
-    fn offer(&mut self, gate: usize, copy: Copy, how: u8) {
+    fn offer(&mut self, gate: usize, copy: Delivery, how: u8) {
         let text = self.keys[copy.key].text.clone();
         let now_us = self.now_s * 1_000_000;
         let caller = CallerDigest([copy.caller; 16]);
@@ -191,7 +191,7 @@
         }
     }
 
-    fn end(&mut self, gate: usize, copy: Copy, how: u8) {
+    fn end(&mut self, gate: usize, copy: Delivery, how: u8) {
         let text = self.keys[copy.key].text.clone();
         let mut body = vec![0; 3 + usize::from(how) * 8];
         body[..3].copy_from_slice(&[copy.key as u8, copy.caller, copy.request]);
@@ -210,7 +210,7 @@
     /// Copies that waited for a run ask again.
     fn wake(&mut self, gate: usize, key: usize, how: u8) {
         let waiting = std::mem::take(&mut self.gates[gate].waiting);
-        let (due, rest): (Vec<Copy>, _) = waiting.into_iter().partition(|copy| copy.key == key);
+        let (due, rest): (Vec<Delivery>, _) = waiting.into_iter().partition(|copy| copy.key == key);
         self.gates[gate].waiting = rest;
         due.into_iter().for_each(|copy| self.offer(gate, copy, how));
     }
@@ -226,7 +226,7 @@
         lost.chain(old.waiting).for_each(|copy| self.tell(copy, Outcome::Unknown));
     }
 
-    fn tell(&mut self, copy: Copy, outcome: Outcome) {
+    fn tell(&mut self, copy: Delivery, outcome: Outcome) {
         let record = self.records.entry(copy).or_default();
         match outcome {
             Outcome::NotRun => record.told_not_run += 1,
