Use the adaptive router, the token ledger and the key table in the daemon

Cause: the interim policies neither bound retries by service nor keep refused keys from running late.

Ruled out: keeping refused keys usable; shedding of keyed work is rare, since it is the most important, and a new key costs one request.

Measured: 23 policy tests and 25 data path tests pass.

--- a/crates/policy/src/admission/advice.rs
+++ b/crates/policy/src/admission/advice.rs
@@ -29,7 +29,8 @@
 impl AdmissionAdvice {
     /// Whether a request of this rank and shed hash is admitted.
     pub fn is_admitted(&self, rank: u8, hash: u16) -> bool {
-        rank < self.cutoff_rank || (rank == self.cutoff_rank && hash < self.cutoff_hash)
+        let is_open = self.cutoff_rank == u8::MAX && self.cutoff_hash == u16::MAX;
+        is_open || rank < self.cutoff_rank || (rank == self.cutoff_rank && hash < self.cutoff_hash)
     }
 }
 
--- a/crates/policy/src/once/settings.rs
+++ b/crates/policy/src/once/settings.rs
@@ -16,9 +16,10 @@
     /// the table takes no further key.
     pub max_memory_bytes: usize,
     /// Whether a key is void once the gate refused its request, for example because of load. If
-    /// so, no copy of the request that arrives late through another entry can run, but the caller
-    /// needs a new key for its next try. If not, the caller may try again with the same key, and
-    /// may conclude that the request did not run only when every copy was reported as `not-run`.
+    /// so, no copy of the request that arrives late through another entry can run, which guarantee
+    /// G4 asks for, but the caller needs a new key for its next try. If not, the caller may try
+    /// again with the same key, and may conclude that the request did not run only when every copy
+    /// was reported as `not-run`.
     pub is_refused_key_void: bool,
 }
 
@@ -28,7 +29,7 @@
             key_retention_s: 7_200,
             max_body_bytes: 64 * 1_024,
             max_memory_bytes: 64 * 1_024 * 1_024,
-            is_refused_key_void: false,
+            is_refused_key_void: true,
         }
     }
 }
--- a/crates/tarragond/src/app/policies.rs
+++ b/crates/tarragond/src/app/policies.rs
@@ -1,21 +1,28 @@
 use tarragon_model::identity::InstanceId;
+use tarragon_policy::once::KeyTable;
+use tarragon_policy::once::OnceSettings;
+use tarragon_policy::retry::RetrySettings;
+use tarragon_policy::retry::TokenLedger;
+use tarragon_policy::routing::AdaptiveRouter;
+use tarragon_policy::routing::RoutingSettings;
 
 use crate::conf::Settings;
 use crate::datapath::Policies;
 use crate::interim::FixedLimit;
-use crate::interim::KeyTable;
-use crate::interim::LeastInFlight;
-use crate::interim::TokenLedger;
 
 /// Slots assumed until the backend server announces its own.
 const DEFAULT_SLOTS: usize = 64;
 
 /// Builds the decisions of a node from its settings.
-pub fn policies(_settings: &Settings, _instance: InstanceId) -> Policies {
+pub fn policies(settings: &Settings, instance: InstanceId) -> Policies {
+    let limits = &settings.limits;
+    let retry =
+        RetrySettings { tokens_per_request: limits.retry_tokens, ..RetrySettings::default() };
+    let once = OnceSettings { key_retention_s: limits.key_retention_s, ..OnceSettings::default() };
     Policies {
         admission: Box::new(FixedLimit::new(DEFAULT_SLOTS, DEFAULT_SLOTS)),
-        route: Box::new(LeastInFlight::default()),
-        retry: Box::new(TokenLedger::default()),
-        once: Box::new(KeyTable::default()),
+        route: Box::new(AdaptiveRouter::new(RoutingSettings::default(), instance.0)),
+        retry: Box::new(TokenLedger::new(retry)),
+        once: Box::new(KeyTable::new(instance, once)),
     }
 }
