Let servers in their cold start take a small share of work

Cause: the router skipped servers in their cold start, so a service whose servers all restart would be refused for the whole cold start, and caches warm up only with work.

Change: Starting servers take part in draws with the share of a ramp's start, and get all work if nothing else is left. The property test counted them as unfit; it now demands that they are usable, which is as strict.

Ruled out: starting the normal ramp at the announcement; a cold start may be longer than the ramp.

--- a/crates/model/src/member/backend_state.rs
+++ b/crates/model/src/member/backend_state.rs
@@ -17,3 +17,12 @@
     /// Takes no new work; work in progress goes on.
     Draining,
 }
+
+impl BackendState {
+    /// Whether the backend server takes new work. A server in its cold start does, at a low rate,
+    /// because its caches only warm up with work, and a service whose servers all start at once
+    /// must not be refused for the length of a cold start.
+    pub fn is_serving(self) -> bool {
+        matches!(self, Self::Starting | Self::Ready)
+    }
+}
--- a/crates/policy/src/routing/adaptive_router.rs
+++ b/crates/policy/src/routing/adaptive_router.rs
@@ -19,8 +19,8 @@
 /// Routes by own measurements, see `docs/design.md`, section 3.5.
 ///
 /// Of the servers that can take a request, the better of two random ones by latency estimate times
-/// calls in flight is chosen. Only `Ready` servers are chosen: the gate of a server in its cold
-/// start would refuse the request anyway. Suspect peers are chosen only if there is no other ready
+/// calls in flight is chosen. A server in its cold start gets the small share of the start of a ramp,
+/// or all work if no other server is left. Suspect peers are chosen only if there is no other ready
 /// server. If all others advise against the request, it is refused as `Shed`, since a suspect peer
 /// would more likely lose than serve it. A request that needs a proven connection goes to another
 /// data centre rather than to an unproven peer in its own.
--- a/crates/policy/src/routing/pool.rs
+++ b/crates/policy/src/routing/pool.rs
@@ -4,7 +4,6 @@
 use rand_pcg::Pcg32;
 use tarragon_model::call::Reason;
 use tarragon_model::identity::InstanceId;
-use tarragon_model::member::BackendState;
 
 use crate::admission::shed_hash;
 use crate::routing::server::Server;
@@ -144,7 +143,7 @@
         self.fitness.clear();
         for server in &self.servers {
             let peer = peers.get(&server.instance).copied().unwrap_or(PeerState::Unproven);
-            let fitness = if !server.is_candidate || server.state != BackendState::Ready {
+            let fitness = if !server.is_candidate || !server.state.is_serving() {
                 Fitness::Unfit
             } else if peer == PeerState::Suspect {
                 Fitness::Suspect
--- a/crates/policy/src/routing/round_robin_router.rs
+++ b/crates/policy/src/routing/round_robin_router.rs
@@ -2,7 +2,6 @@
 
 use tarragon_model::call::Reason;
 use tarragon_model::identity::InstanceId;
-use tarragon_model::member::BackendState;
 
 use crate::admission::AdmissionAdvice;
 use crate::routing::CallResult;
@@ -15,7 +14,7 @@
 /// When a caller should try again if there is no server, in ms.
 const RETRY_AFTER_MS: u64 = 1_000;
 
-/// Baseline: the ready servers of the nearest distance in turn, whatever their load.
+/// Baseline: the serving servers of the nearest distance in turn, whatever their load.
 #[derive(Debug, Default)]
 pub struct RoundRobinRouter {
     candidates: HashMap<String, Vec<Candidate>>,
@@ -30,7 +29,7 @@
     fn choose(&mut self, query: &RouteQuery<'_>, _now_us: u64) -> RouteDecision {
         let all = self.candidates.get(query.service).map_or(&[][..], Vec::as_slice);
         let is_fit = |candidate: &&Candidate| {
-            candidate.state == BackendState::Ready && !query.excluded.contains(&candidate.instance)
+            candidate.state.is_serving() && !query.excluded.contains(&candidate.instance)
         };
         let nearest = all.iter().filter(is_fit).map(|candidate| candidate.distance).min();
         let is_nearest = |candidate: &&Candidate| Some(candidate.distance) == nearest;
--- a/crates/policy/src/routing/server.rs
+++ b/crates/policy/src/routing/server.rs
@@ -92,15 +92,19 @@
         }
     }
 
-    /// Share of draws in which the server takes part, 0 to 1.
+    /// Share of draws in which the server takes part, 0 to 1. It stays at the start of the ramp
+    /// during a cold start.
     pub fn share(&mut self, settings: &RoutingSettings, now_us: u64) -> f64 {
+        let start = f64::from(settings.ramp_start_percent) / 100.0;
+        if self.state == BackendState::Starting {
+            return start;
+        }
         let Some(ramp) = self.ramp else { return 1.0 };
         let passed_us = now_us.saturating_sub(ramp.start_us);
         if passed_us >= ramp.length_us {
             self.ramp = None;
             return 1.0;
         }
-        let start = f64::from(settings.ramp_start_percent) / 100.0;
         start + (1.0 - start) * passed_us as f64 / ramp.length_us as f64
     }
 
--- a/crates/policy/src/routing/tests.rs
+++ b/crates/policy/src/routing/tests.rs
@@ -156,7 +156,7 @@
                 };
                 let fit: Vec<&Candidate> = candidates
                     .iter()
-                    .filter(|c| c.state == BackendState::Ready && !excluded.contains(&c.instance))
+                    .filter(|c| c.state.is_serving() && !excluded.contains(&c.instance))
                     .collect();
                 let trusted: Vec<&Candidate> =
                     fit.iter().filter(|c| peer(c) != PeerState::Suspect).copied().collect();
@@ -185,7 +185,7 @@
     true
 }
 
-/// Guards against work for servers that drain, start, are gone or were tried, against the use of
+/// Guards against work for servers that drain, are gone or were tried, against the use of
 /// suspect or unproven peers without need, and against refusals while a server can serve.
 #[test]
 fn every_decision_is_allowed_and_needed() {
@@ -316,6 +316,20 @@
     }
 }
 
+/// Guards against full load on a cold server, and against refusals while all servers are cold.
+#[test]
+fn starting_server_gets_a_small_share_or_all_work_in_need() {
+    let starting =
+        |number| Candidate { state: BackendState::Starting, ..ready(number, Distance::Local) };
+    let mixed = [ready(0, Distance::Local), ready(1, Distance::Local), starting(2)];
+    let shares = Load::new(adaptive(RoutingSettings::default()), &mixed).run(SECOND, |_| WELL);
+    let cold = share(&shares, 2);
+    assert!(cold > 0.0 && cold < 0.15, "share {cold} of a server in its cold start");
+    let shares =
+        Load::new(adaptive(RoutingSettings::default()), &[starting(0)]).run(SECOND, |_| WELL);
+    assert!(share(&shares, 0) > 0.99, "a lone server in its cold start gets no work");
+}
+
 /// Guards against the use of costly links without need, and against work that swings between data
 /// centres when the own one can and cannot serve in turn.
 #[test]
--- a/crates/tarragond/src/control/api/backend.rs
+++ b/crates/tarragond/src/control/api/backend.rs
@@ -100,8 +100,7 @@
         .filter(|m| m.service == service && m.instance != context.instance)
         .filter(|m| m.state != BackendState::Absent)
         .collect();
-    let takes_work = |state| matches!(state, BackendState::Ready | BackendState::Starting);
-    let ready_left = others.iter().filter(|m| takes_work(m.state)).count();
+    let ready_left = others.iter().filter(|m| m.state.is_serving()).count();
     let is_another_draining = others.iter().any(|m| m.state == BackendState::Draining);
     let known = others.len() + 1;
     let is_refused = !service.is_empty() && is_another_draining && ready_left * 2 < known;
