Say not-run for a keyed request only when the owner of its key did

Found by reading the forwarder.

Change: such answers are unknown (owner-unreachable, claim-unavailable); a keyed request that its gate refused is not sent again, since its key is void.

Ruled out: not-run for first attempts only; an entry cannot tell them apart.

--- a/crates/model/src/call/outcome.rs
+++ b/crates/model/src/call/outcome.rs
@@ -93,12 +93,15 @@
     Fenced = "fenced", NotRun, SERVICE_UNAVAILABLE;
     /// The caller repeats requests faster than allowed.
     Throttled = "throttled", NotRun, TOO_MANY_REQUESTS;
-    /// The key cannot be claimed without a majority of the control replicas.
-    ClaimUnavailable = "claim-unavailable", NotRun, SERVICE_UNAVAILABLE;
     /// The key belongs to another caller or another request.
     KeyMismatch = "key-mismatch", NotRun, CONFLICT;
     /// The owner of the key is draining; the key is void and a new one is needed.
     KeyVoid = "key-void", NotRun, SERVICE_UNAVAILABLE;
+    /// The key cannot be claimed without a majority of the control replicas; an earlier copy of the
+    /// request may have claimed it and run.
+    ClaimUnavailable = "claim-unavailable", Unknown, BAD_GATEWAY;
+    /// The owner of the key cannot be asked; an earlier copy of the request may have run there.
+    OwnerUnreachable = "owner-unreachable", Unknown, BAD_GATEWAY;
     /// The owner of the key is gone, or its answer is no longer kept.
     KeyUnknown = "key-unknown", Unknown, BAD_GATEWAY;
     /// The connection to the node or the backend server broke after the request was sent.
--- a/crates/tarragond/src/entry/forwarder.rs
+++ b/crates/tarragond/src/entry/forwarder.rs
@@ -93,20 +93,20 @@
     /// Forwards a call until there is an answer or nothing more may be tried.
     pub(crate) async fn forward(&self, call: &OutgoingCall) -> Result<Response<Body>, Failure> {
         self.retry().attempted(&call.service, self.parts.clock.now_us());
-        let owner = match &call.context.key {
-            Some(key) => Some(self.owner(call, key).await?),
-            None => None,
-        };
+        match &call.context.key {
+            Some(key) => self.forward_keyed(call, key).await,
+            None => self.forward_plain(call).await,
+        }
+    }
+
+    async fn forward_plain(&self, call: &OutgoingCall) -> Result<Response<Body>, Failure> {
         let mut excluded = Vec::new();
         let mut last = None;
         loop {
-            let target = match owner {
-                Some(owner) => owner,
-                None => self.choose_again(call, &excluded, last)?,
-            };
+            let target = self.choose_again(call, &excluded, last)?;
             let failure = match self.attempt(call, target).await {
                 Ok(response) => return Ok(response),
-                Err(failure) => failure,
+                Err(failed) => failed.failure,
             };
             if !may_repeat(call, failure) || !self.take_token(call) {
                 return Err(failure);
@@ -122,6 +122,30 @@
         }
     }
 
+    /// Forwards a keyed request to the owner of its key.
+    ///
+    /// Only the owner may say that it did not run. Whatever keeps this node from asking the owner
+    /// leaves the outcome unknown, because an earlier copy may have run through another node.
+    async fn forward_keyed(
+        &self,
+        call: &OutgoingCall,
+        key: &IdempotencyKey,
+    ) -> Result<Response<Body>, Failure> {
+        let owner = self.owner(call, key).await.map_err(unsettled)?;
+        loop {
+            let failure = match self.attempt(call, owner).await {
+                Ok(response) => return Ok(response),
+                Err(failed) if failed.is_from_gate => return Err(failed.failure),
+                Err(failed) => failed.failure,
+            };
+            if !may_repeat(call, failure) || !self.take_token(call) {
+                return Err(unsettled(failure));
+            }
+            debug!("once: {key} is sent again to its owner after {}", failure.reason);
+            self.wait_before_retry(call.deadline).await.map_err(unsettled)?;
+        }
+    }
+
     fn take_token(&self, call: &OutgoingCall) -> bool {
         let now_us = self.parts.clock.now_us();
         self.retry().take(call.ledger_span, &call.service, now_us)
@@ -205,9 +229,10 @@
         &self,
         call: &OutgoingCall,
         target: InstanceId,
-    ) -> Result<Response<Body>, Failure> {
+    ) -> Result<Response<Body>, FailedAttempt> {
+        let unanswered = |failure| FailedAttempt { failure, is_from_gate: false };
         if crate::datapath::left_us(call.deadline) == 0 {
-            return Err(Reason::Late.into());
+            return Err(unanswered(Reason::Late.into()));
         }
         let attempt = self.next_attempt.fetch_add(1, Ordering::Relaxed);
         let tokens = self.retry().lend(call.ledger_span);
@@ -229,7 +254,7 @@
                 Err(e) => {
                     guard.set_end(CallEnd::Failed);
                     drop(guard);
-                    return Err(self.explain(call, target, attempt, tokens, e).await);
+                    return Err(unanswered(self.explain(call, target, attempt, tokens, e).await));
                 }
             }
         };
@@ -243,7 +268,7 @@
             Err(failure) => {
                 let is_not_run = failure.is_not_run();
                 guard.set_end(if is_not_run { CallEnd::NotRun } else { CallEnd::Failed });
-                Err(failure)
+                Err(FailedAttempt { failure, is_from_gate: true })
             }
         }
     }
@@ -278,6 +303,22 @@
     }
 }
 
+/// An attempt without an answer of the backend server.
+struct FailedAttempt {
+    failure: Failure,
+    /// Whether the gate decided it, rather than this node or the connection.
+    is_from_gate: bool,
+}
+
+/// What a caller is told when the owner of its key could not be asked.
+fn unsettled(failure: Failure) -> Failure {
+    if failure.is_not_run() {
+        Failure { retry_after_ms: failure.retry_after_ms, ..Reason::OwnerUnreachable.into() }
+    } else {
+        failure
+    }
+}
+
 /// Whether another attempt is safe and may help.
 fn may_repeat(call: &OutgoingCall, failure: Failure) -> bool {
     let may_help = match failure.reason {
--- a/crates/tarragond/src/gate/gate_service.rs
+++ b/crates/tarragond/src/gate/gate_service.rs
@@ -32,6 +32,7 @@
     /// Passes what the backend server announces to the policies.
     async fn follow_status(&self) {
         let mut status = self.gate.status.clone();
+        let mut was_draining = false;
         loop {
             let (slots, state) = {
                 let status = status.borrow_and_update();
@@ -39,8 +40,11 @@
             };
             self.gate.desk.set_slots(slots);
             let is_draining = state == BackendState::Draining;
-            self.gate.keys.set_drain(is_draining);
-            self.gate.desk.set_drain(is_draining);
+            if is_draining != was_draining {
+                self.gate.keys.set_drain(is_draining);
+                self.gate.desk.set_drain(is_draining);
+                was_draining = is_draining;
+            }
             if status.changed().await.is_err() {
                 // The announcements ended with their service; the last status stays.
                 std::future::pending::<()>().await;
