Add the adaptive and the naive admission policy

Cause: the gate has a trait for admission and no implementation.

Change: AdmissionSettings, NaiveAdmission as the baseline, AdaptiveAdmission with a learnt limit, a cutoff in rank and shed hash, a queue by rank, class shares, and AdvisoryFilter for calling nodes; a measurement program in virtual time.

Ruled out: a baseline that is the lowest latency of a time window; with runs of few milliseconds and spread it falls to lucky samples and keeps the limit low.

Known fault: the limit of the 75-slot case stays low for seconds after a slow-down. No tests of the policy yet.

--- /dev/null
+++ b/crates/policy/examples/measure_admission/simulation.rs
@@ -0,0 +1,277 @@
+//! One gate, one backend server and callers that retry, in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use tarragon_model::identity::InstanceId;
+use tarragon_model::identity::RequestId;
+use tarragon_policy::admission::AdmissionPolicy;
+use tarragon_policy::admission::Offer;
+use tarragon_policy::admission::Release;
+use tarragon_policy::admission::RunEnd;
+use tarragon_policy::admission::RunResult;
+use tarragon_policy::admission::Ticket;
+use tarragon_policy::admission::Verdict;
+use tarragon_policy::admission::WorkClass;
+
+/// An operation of the offered load.
+#[derive(Clone, Copy)]
+pub struct Operation {
+    pub rank: u8,
+    pub class: WorkClass,
+    pub mean_us: u64,
+    /// Time within which the whole request must be answered, in µs.
+    pub patience_us: u64,
+    /// Time after which the caller abandons one attempt, in µs.
+    pub attempt_us: u64,
+    /// Attempts of a caller for one request.
+    pub attempts: u32,
+}
+
+/// What happens at a given time.
+pub struct Scenario<'a> {
+    pub slots: u32,
+    pub operations: &'a [Operation],
+    /// Requests per second of an operation at a time.
+    pub rate: &'a dyn Fn(usize, u64) -> f64,
+    /// Share of the slots that the server really has at a time.
+    pub capacity: &'a dyn Fn(u64) -> f64,
+    /// Factor by which every run is slower at a time, at any concurrency.
+    pub slowness: &'a dyn Fn(u64) -> f64,
+    pub end_us: u64,
+    pub seed: u64,
+}
+
+/// Outcome of one whole request.
+#[derive(Clone, Copy)]
+pub struct Record {
+    pub operation: usize,
+    pub arrived_us: u64,
+    /// Time to the whole answer, if it came within the caller's patience, in µs.
+    pub latency_us: Option<u64>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    Attempt(usize),
+    Done(Ticket, u64),
+    GiveUp(usize, u32),
+    Poll,
+}
+
+struct Request {
+    operation: usize,
+    arrived_us: u64,
+    attempts: u32,
+    ticket: Option<Ticket>,
+    is_over: bool,
+}
+
+struct Simulation<'a> {
+    scenario: &'a Scenario<'a>,
+    gate: &'a mut dyn AdmissionPolicy,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    random: Pcg64,
+    requests: Vec<Request>,
+    latencies: Vec<Option<u64>>,
+    owners: HashMap<Ticket, usize>,
+    /// Start times of the runs.
+    running: HashMap<Ticket, u64>,
+    counter: u64,
+    poll_us: Option<u64>,
+    limits: Vec<(u64, u32)>,
+}
+
+/// Records of all requests, and the limit at the end of every 10 ms.
+pub fn run(
+    scenario: &Scenario<'_>,
+    gate: &mut dyn AdmissionPolicy,
+) -> (Vec<Record>, Vec<(u64, u32)>) {
+    let mut simulation = Simulation {
+        scenario,
+        gate,
+        events: BinaryHeap::new(),
+        sequence: 0,
+        random: Pcg64::seed_from_u64(scenario.seed),
+        requests: Vec::new(),
+        latencies: Vec::new(),
+        owners: HashMap::new(),
+        running: HashMap::new(),
+        counter: 0,
+        poll_us: None,
+        limits: Vec::new(),
+    };
+    simulation.gate.set_slots(scenario.slots, 0);
+    for operation in 0..scenario.operations.len() {
+        simulation.push(0, Event::Arrive(operation));
+    }
+    simulation.run();
+    let records = simulation.requests.iter().zip(&simulation.latencies);
+    let records = records.map(|(request, latency_us)| Record {
+        operation: request.operation,
+        arrived_us: request.arrived_us,
+        latency_us: *latency_us,
+    });
+    (records.collect(), simulation.limits)
+}
+
+impl Simulation<'_> {
+    fn push(&mut self, at_us: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at_us, self.sequence, event)));
+    }
+
+    fn exponential(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.random.random::<f64>()).ln()
+    }
+
+    fn run(&mut self) {
+        while let Some(Reverse((now_us, _, event))) = self.events.pop() {
+            if self.limits.last().is_none_or(|(at_us, _)| now_us >= at_us + 10_000) {
+                self.limits.push((now_us, self.gate.advice(now_us).limit));
+            }
+            match event {
+                Event::Arrive(operation) => self.arrive(operation, now_us),
+                Event::Attempt(request) => self.attempt(request, now_us),
+                Event::Done(ticket, started_us) => {
+                    if self.running.get(&ticket) == Some(&started_us) {
+                        self.end_run(ticket, RunEnd::Answered, now_us);
+                    }
+                }
+                Event::GiveUp(request, attempt) => self.give_up(request, attempt, now_us),
+                Event::Poll => {
+                    self.poll_us = None;
+                    self.poll(now_us);
+                }
+            }
+            self.schedule_poll(now_us);
+        }
+    }
+
+    fn schedule_poll(&mut self, now_us: u64) {
+        let Some(at_us) = self.gate.next_poll_us() else { return };
+        let at_us = at_us.max(now_us);
+        if self.poll_us.is_none_or(|planned_us| at_us < planned_us) {
+            self.poll_us = Some(at_us);
+            self.push(at_us, Event::Poll);
+        }
+    }
+
+    fn arrive(&mut self, operation: usize, now_us: u64) {
+        let rate = (self.scenario.rate)(operation, now_us);
+        if rate > 0.0 && now_us > 0 {
+            self.requests.push(Request {
+                operation,
+                arrived_us: now_us,
+                attempts: 0,
+                ticket: None,
+                is_over: false,
+            });
+            self.latencies.push(None);
+            self.attempt(self.requests.len() - 1, now_us);
+        }
+        let next_us = now_us + self.exponential(1e6 / rate.max(1.0)) as u64 + 1;
+        if next_us < self.scenario.end_us {
+            self.push(next_us, Event::Arrive(operation));
+        }
+    }
+
+    fn attempt(&mut self, index: usize, now_us: u64) {
+        let request = &mut self.requests[index];
+        let operation = self.scenario.operations[request.operation];
+        let left_us = (request.arrived_us + operation.patience_us).saturating_sub(now_us);
+        if request.is_over || left_us == 0 || request.attempts >= operation.attempts {
+            return;
+        }
+        request.attempts += 1;
+        let attempt = request.attempts;
+        // Every attempt of a caller is a new request to the system.
+        self.counter += 1;
+        let deadline_left_us = left_us.min(operation.attempt_us);
+        let offer = Offer {
+            request_id: RequestId { instance: InstanceId(1), counter: self.counter },
+            rank: operation.rank,
+            class: operation.class,
+            expected_us: operation.mean_us,
+            deadline_left_us,
+        };
+        match self.gate.offer(&offer, now_us) {
+            Verdict::Run(ticket) => {
+                self.own(ticket, index, attempt, now_us + deadline_left_us);
+                self.start(ticket, now_us);
+            }
+            Verdict::Wait(ticket) => self.own(ticket, index, attempt, now_us + deadline_left_us),
+            Verdict::Refuse(_) => self.retry(index, now_us),
+        }
+    }
+
+    fn own(&mut self, ticket: Ticket, index: usize, attempt: u32, give_up_us: u64) {
+        self.owners.insert(ticket, index);
+        self.requests[index].ticket = Some(ticket);
+        self.push(give_up_us, Event::GiveUp(index, attempt));
+    }
+
+    /// A caller that retries hard ignores the advised time and comes back within 1 to 20 ms.
+    fn retry(&mut self, index: usize, now_us: u64) {
+        self.requests[index].ticket = None;
+        let pause_us = self.random.random_range(1_000..20_000);
+        self.push(now_us + pause_us, Event::Attempt(index));
+    }
+
+    /// Run times have two exponential stages and grow with concurrency beyond the real slots.
+    fn start(&mut self, ticket: Ticket, now_us: u64) {
+        self.running.insert(ticket, now_us);
+        let request = &self.requests[self.owners[&ticket]];
+        let stage_us = self.scenario.operations[request.operation].mean_us as f64 / 2.0;
+        let slots = f64::from(self.scenario.slots) * (self.scenario.capacity)(now_us);
+        let crowding = (self.running.len() as f64 / slots).max(1.0).powf(1.2);
+        let factor = crowding * (self.scenario.slowness)(now_us);
+        let run_us = (self.exponential(stage_us) + self.exponential(stage_us)) * factor;
+        self.push(now_us + run_us as u64 + 1, Event::Done(ticket, now_us));
+    }
+
+    fn end_run(&mut self, ticket: Ticket, end: RunEnd, now_us: u64) {
+        let Some(started_us) = self.running.remove(&ticket) else { return };
+        let index = self.owners.remove(&ticket).expect("a run has an owner");
+        let run_us = now_us - started_us;
+        let request = &mut self.requests[index];
+        request.ticket = None;
+        if end == RunEnd::Answered {
+            request.is_over = true;
+            self.latencies[index] = Some(now_us - request.arrived_us);
+        }
+        self.gate.finish(ticket, &RunResult { run_us, first_byte_us: run_us, end }, now_us);
+        self.poll(now_us);
+    }
+
+    fn give_up(&mut self, index: usize, attempt: u32, now_us: u64) {
+        let request = &self.requests[index];
+        let Some(ticket) = request.ticket.filter(|_| request.attempts == attempt) else { return };
+        if self.running.contains_key(&ticket) {
+            self.end_run(ticket, RunEnd::Cancelled, now_us);
+        } else {
+            self.gate.withdraw(ticket, now_us);
+            self.owners.remove(&ticket);
+        }
+        self.retry(index, now_us);
+    }
+
+    fn poll(&mut self, now_us: u64) {
+        for release in self.gate.poll(now_us) {
+            match release {
+                Release::Run(ticket) => self.start(ticket, now_us),
+                Release::Refuse(ticket, _) => {
+                    if let Some(index) = self.owners.remove(&ticket) {
+                        self.retry(index, now_us);
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/admission/concurrency_limit.rs
@@ -0,0 +1,262 @@
+use crate::admission::AdmissionSettings;
+
+/// Part of the latency that must remain at half the concurrency for the server to count as slow at
+/// any concurrency. A server that only queues requests would show about half.
+const UNIFORM_SHARE: f64 = 0.75;
+
+/// Samples that settle the comparison at half the concurrency.
+const COMPARISON_SAMPLES: u32 = 8;
+
+/// Largest interval between two forced halvings, in µs.
+const MAX_HALVING_AFTER_US: u64 = 8_000_000;
+
+/// Relative latency below which the baseline is taken to be outdated rather than the samples
+/// lucky.
+const OUTDATED_RATIO: f64 = 0.7;
+
+/// Relative latency up to which samples count as uncongested.
+const UNCONGESTED_RATIO: f64 = 1.15;
+
+/// Largest relative latency that one sample contributes, so that a few stalls do not outweigh all
+/// other samples.
+const MAX_RATIO: f64 = 20.0;
+
+/// Congestion since its onset, kept to tell queueing from a server that is slow anyway.
+#[derive(Debug, Clone, Copy)]
+struct Congestion {
+    onset_us: u64,
+    limit: f64,
+    ratio: f64,
+    halved: Option<Halved>,
+}
+
+/// Samples of runs that started at half the concurrency of the onset.
+#[derive(Debug, Clone, Copy)]
+struct Halved {
+    since_us: u64,
+    is_forced: bool,
+    count: u32,
+    sum: f64,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Window {
+    start_us: u64,
+    count: u32,
+    sum: f64,
+    rejected: u32,
+}
+
+/// Concurrency limit learnt from latency relative to the uncongested latency.
+///
+/// The decrease is the gradient rule of Netflix' concurrency-limits library (`Gradient2Limit`,
+/// 2018), which follows TCP Vegas (Brakmo and Peterson, 1995): the limit is multiplied by the
+/// ratio of tolerated to measured latency, and a square root of it is added as room for a queue.
+/// Refusals by the server decrease the limit as losses do in AIMD (Chiu and Jain, 1989).
+///
+/// The gradient alone stays low for ever when the server is slower at any concurrency, because
+/// its latency never returns to the baseline. So latency at half the concurrency is compared with
+/// latency at the onset of congestion: if it has not dropped, the baseline is replaced. Without
+/// congestion the limit always grows, also while idle.
+#[derive(Debug, Clone)]
+pub(super) struct ConcurrencyLimit {
+    settings: AdmissionSettings,
+    slots: f64,
+    limit: f64,
+    window: Window,
+    congestion: Option<Congestion>,
+    halving_after_us: u64,
+    last_ratio: f64,
+}
+
+impl ConcurrencyLimit {
+    pub(super) fn new(settings: &AdmissionSettings) -> Self {
+        let slots = f64::from(settings.default_slots.max(1));
+        Self {
+            settings: settings.clone(),
+            slots,
+            limit: (slots * settings.initial_share).max(1.0),
+            window: Window::default(),
+            congestion: None,
+            halving_after_us: settings.halving_after_us,
+            last_ratio: 1.0,
+        }
+    }
+
+    /// Present limit, at least one.
+    pub(super) fn value(&self) -> u32 {
+        let is_forced = |c: &Congestion| c.halved.is_some_and(|h| h.is_forced);
+        let limit = match self.congestion.filter(is_forced) {
+            Some(congestion) => congestion.limit / 2.0,
+            None => self.limit,
+        };
+        limit.max(self.floor()) as u32
+    }
+
+    /// Whether samples tell the uncongested latency.
+    pub(super) fn is_uncongested(&self) -> bool {
+        self.congestion.is_none() && self.last_ratio <= UNCONGESTED_RATIO
+    }
+
+    /// Adopts the announced slots. A limit that had reached its bound follows it by probing.
+    pub(super) fn set_slots(&mut self, slots: u32) {
+        let slots = f64::from(slots.max(1));
+        if slots != self.slots {
+            self.slots = slots;
+            self.limit = self.limit.max(slots * self.settings.initial_share).min(slots);
+        }
+    }
+
+    /// Starts again as for a new server.
+    pub(super) fn restart(&mut self) {
+        self.limit = (self.slots * self.settings.initial_share).max(1.0);
+        self.congestion = None;
+    }
+
+    /// Records the latency of a run that started at `started_us`, relative to the baseline.
+    pub(super) fn record(&mut self, ratio: f64, started_us: u64) {
+        let ratio = ratio.min(MAX_RATIO);
+        self.window.count += 1;
+        self.window.sum += ratio;
+        if let Some(halved) = self.congestion.as_mut().and_then(|c| c.halved.as_mut()) {
+            if started_us >= halved.since_us {
+                halved.count += 1;
+                halved.sum += ratio;
+            }
+        }
+    }
+
+    /// Records a refusal by the server.
+    pub(super) fn record_rejected(&mut self) {
+        self.window.rejected += 1;
+    }
+
+    /// Time at which the window ends, unless further samples fill it earlier, in µs.
+    pub(super) fn window_end_us(&self) -> u64 {
+        let is_filled = self.window.count + self.window.rejected >= self.settings.min_samples;
+        let length_us =
+            if is_filled { self.settings.window_us } else { self.settings.max_window_us };
+        self.window.start_us + length_us
+    }
+
+    /// Sets the limit from the samples of the window. `in_flight` is the number of present runs.
+    /// Returns a factor by which the baselines must be multiplied, if they are outdated.
+    pub(super) fn close_window(&mut self, in_flight: u32, now_us: u64) -> Option<f64> {
+        let window = self.window;
+        self.window = Window { start_us: now_us, ..Window::default() };
+        let age_us = now_us.saturating_sub(window.start_us);
+        let is_measured = window.count + window.rejected >= self.settings.min_samples / 2;
+        if !is_measured {
+            self.grow(age_us);
+            // Few samples cannot confirm congestion; a halved limit may be the very cause.
+            return self.compare(None, in_flight, now_us);
+        }
+        let ratio = if window.count > 0 { window.sum / f64::from(window.count) } else { 1.0 };
+        self.last_ratio = ratio;
+        if window.rejected > 0 {
+            let rejected = f64::from(window.rejected);
+            let share = rejected / (rejected + f64::from(window.count));
+            // In flight is what the server just had accepted; the limit may be far above it.
+            let base = self.limit.min(f64::from(in_flight.max(1)) * 2.0);
+            self.limit = (base * (1.0 - share / 2.0)).max(self.floor());
+        } else if ratio <= self.settings.latency_tolerance {
+            self.congestion = self.congestion.filter(|c| c.halved.is_some_and(|h| h.is_forced));
+            self.grow(age_us);
+        } else {
+            self.decrease(ratio, now_us);
+        }
+        if ratio < OUTDATED_RATIO {
+            // The square root damps a window of few and lucky samples.
+            return Some(ratio.sqrt());
+        }
+        self.compare(Some(ratio), in_flight, now_us)
+    }
+
+    fn floor(&self) -> f64 {
+        (self.slots * self.settings.min_share).max(1.0)
+    }
+
+    fn grow(&mut self, age_us: u64) {
+        if self.congestion.is_some() {
+            return;
+        }
+        self.halving_after_us = self.settings.halving_after_us;
+        let windows = (age_us / self.settings.window_us.max(1)).clamp(1, 1000);
+        for _ in 0..windows {
+            self.limit += self.limit.sqrt();
+            if self.limit >= self.slots {
+                break;
+            }
+        }
+        self.limit = self.limit.min(self.slots);
+    }
+
+    fn decrease(&mut self, ratio: f64, now_us: u64) {
+        if self.congestion.is_some_and(|c| c.halved.is_some_and(|h| h.is_forced)) {
+            return;
+        }
+        let congestion = self.congestion.get_or_insert(Congestion {
+            onset_us: now_us,
+            limit: self.limit,
+            ratio,
+            halved: None,
+        });
+        if congestion.halved.is_none() {
+            congestion.ratio = congestion.ratio.max(ratio);
+        }
+        let gradient = (self.settings.latency_tolerance / ratio).clamp(0.5, 1.0);
+        let limit = self.limit * gradient + self.limit.sqrt() / 2.0;
+        self.limit = limit.clamp(self.floor(), self.slots);
+    }
+
+    /// Compares latency at half the concurrency with latency at the onset of congestion.
+    fn compare(&mut self, ratio: Option<f64>, in_flight: u32, now_us: u64) -> Option<f64> {
+        let floor = self.floor();
+        let congestion = self.congestion.as_mut()?;
+        let half = (congestion.limit / 2.0).max(floor);
+        let Some(halved) = congestion.halved else {
+            let is_long = now_us.saturating_sub(congestion.onset_us) >= self.halving_after_us;
+            let is_half = self.limit <= half;
+            if is_long && !is_half {
+                congestion.limit = self.limit;
+                congestion.ratio = ratio.unwrap_or(congestion.ratio);
+            }
+            if is_long || is_half {
+                let is_forced = !is_half;
+                congestion.halved =
+                    Some(Halved { since_us: now_us, is_forced, count: 0, sum: 0.0 });
+            }
+            return None;
+        };
+        if halved.count == 0 && f64::from(in_flight) > half + 1.0 {
+            // Runs of the time before the decrease still slow the server.
+            congestion.halved = Some(Halved { since_us: now_us, ..halved });
+            return None;
+        }
+        let waited_us = now_us.saturating_sub(halved.since_us);
+        let is_idle =
+            halved.count == 0 && waited_us >= self.settings.max_window_us && in_flight == 0;
+        if is_idle {
+            self.congestion = None;
+            return None;
+        }
+        if halved.count < COMPARISON_SAMPLES {
+            return None;
+        }
+        let measured = halved.sum / f64::from(halved.count);
+        if measured >= UNIFORM_SHARE * congestion.ratio || measured <= 1.0 {
+            self.congestion = None;
+            return (measured > 1.0).then_some(measured);
+        }
+        if halved.is_forced {
+            self.halving_after_us = (self.halving_after_us * 2).min(MAX_HALVING_AFTER_US);
+        }
+        *congestion = Congestion {
+            onset_us: now_us,
+            limit: self.limit.max(floor),
+            ratio: measured,
+            halved: None,
+        };
+        None
+    }
+}
--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -1,10 +1,25 @@
 //! Decides at the gate whether a request runs, waits or is refused.
+//!
+//! [`AdaptiveAdmission`] is the policy of the daemon, [`NaiveAdmission`] the baseline that it is
+//! compared with. Calling nodes apply the advice of a gate through an [`AdvisoryFilter`].
 
+mod adaptive;
 mod advice;
+mod advisory_filter;
+mod class_shares;
+mod concurrency_limit;
+mod naive;
 mod policy;
+mod run_times;
+mod settings;
+mod shed_cutoff;
+mod wait_queue;
 
+pub use adaptive::AdaptiveAdmission;
 pub use advice::shed_hash;
 pub use advice::AdmissionAdvice;
+pub use advisory_filter::AdvisoryFilter;
+pub use naive::NaiveAdmission;
 pub use policy::AdmissionPolicy;
 pub use policy::Offer;
 pub use policy::Refusal;
@@ -14,3 +29,4 @@
 pub use policy::Ticket;
 pub use policy::Verdict;
 pub use policy::WorkClass;
+pub use settings::AdmissionSettings;
