Compare demand and capacity in uncongested slot time

Cause: the limit of a gate with 75 slots stayed low for seconds after a slow-down, and the cutoff shed far too much while it fell. The baseline ended up too low and nothing raised it; demand was counted in run times that had been inflated by concurrency.

Change: half the concurrency is held until settled samples tell queueing from a slower server, and a forced halving replaces the baseline; windows span 1.5 latencies; unused limits grow cautiously; the cutoff compares baseline work with the work that a busy server completes.

Ruled out: comparing only runs that started after the halving, which counts short runs first and biases the baseline low.

--- a/crates/policy/src/admission/adaptive.rs
+++ b/crates/policy/src/admission/adaptive.rs
@@ -5,6 +5,7 @@
 use crate::admission::class_shares::ClassShares;
 use crate::admission::concurrency_limit::ConcurrencyLimit;
 use crate::admission::run_times::RunTimes;
+use crate::admission::shed_cutoff::Load;
 use crate::admission::shed_cutoff::ShedCutoff;
 use crate::admission::shed_hash;
 use crate::admission::wait_queue::WaitQueue;
@@ -97,11 +98,18 @@
             self.record_stalled(now_us);
             if let Some(factor) = self.limit.close_window(self.in_flight(), now_us) {
                 self.run_times.scale_baselines(factor);
+                self.cutoff.scale(factor);
             }
         }
         if now_us >= self.cutoff.window_end_us() {
-            let delay_us = self.queue_delay_us(WorkClass::Short, u8::MAX);
-            self.cutoff.close_window(self.limit.value(), delay_us, now_us);
+            let load = Load {
+                limit: self.limit.value(),
+                in_flight: self.in_flight(),
+                long_running: self.long_running,
+                ratio: self.limit.last_ratio(),
+                queue_delay_us: self.queue_delay_us(WorkClass::Short, u8::MAX),
+            };
+            self.cutoff.close_window(&load, now_us);
         }
     }
 
@@ -112,7 +120,7 @@
             let age_us = now_us.saturating_sub(running.started_us) as f64;
             let baseline_us = self.run_times.baseline_us(running.class, running.expected_us);
             if let Some(baseline_us) = baseline_us.filter(|b| age_us > b * STALLED_RATIO) {
-                self.limit.record(age_us / baseline_us, running.started_us);
+                self.limit.record(age_us, age_us / baseline_us, now_us);
             }
         }
     }
@@ -120,6 +128,7 @@
     fn long_limit(&self, rank: u8, is_urgent: bool) -> u32 {
         // Lending for an urgent request stops only less important work.
         let short_slots = self.cutoff.short_slots(if is_urgent { rank } else { u8::MAX });
+        let short_slots = short_slots * self.limit.last_ratio().max(1.0);
         self.shares.long_limit(self.limit.value(), short_slots, is_urgent)
     }
 
@@ -151,6 +160,7 @@
         self.long_running += u32::from(waiting.class == WorkClass::Long);
         let Waiting { ticket, class, expected_us, .. } = *waiting;
         self.running.insert(ticket, Running { class, expected_us, started_us: now_us });
+        self.limit.record_start(self.running.len() as u32);
     }
 
     fn refusal(&self, reason: Reason) -> Refusal {
@@ -175,7 +185,7 @@
     }
 
     fn record_latency(&mut self, run: &Running, result: &RunResult, now_us: u64) {
-        let Running { class, expected_us, started_us } = *run;
+        let Running { class, expected_us, .. } = *run;
         let baseline_us = self.run_times.baseline_us(class, expected_us);
         let first_byte_us =
             if result.first_byte_us > 0 { result.first_byte_us } else { result.run_us };
@@ -190,7 +200,7 @@
             // A run that was cut off tells only that it would have lasted longer.
             let ratio = ratio.filter(|ratio| is_whole || *ratio > STALLED_RATIO);
             if let Some(ratio) = ratio {
-                self.limit.record(ratio, started_us);
+                self.limit.record(latency_us as f64, ratio, now_us);
             }
         }
         if is_whole {
@@ -220,7 +230,8 @@
         let hash = shed_hash(offer.request_id);
         let run_us = self.run_times.estimate_us(class, expected_us, now_us);
         let work_us = self.run_times.work_us(class, expected_us);
-        let is_admitted = self.cutoff.offer(rank, hash, class, work_us);
+        let demand_us = self.run_times.baseline_work_us(class, expected_us);
+        let is_admitted = self.cutoff.offer(rank, hash, class, demand_us);
         if deadline_left_us == 0 || run_us > deadline_left_us {
             return Verdict::Refuse(self.refusal(Reason::Late));
         }
@@ -266,7 +277,13 @@
 
     fn finish(&mut self, ticket: Ticket, result: &RunResult, now_us: u64) {
         let Some(run) = self.running.remove(&ticket) else { return };
-        self.long_running -= u32::from(run.class == WorkClass::Long);
+        match run.class {
+            WorkClass::Short => {
+                let work_us = self.run_times.baseline_work_us(run.class, run.expected_us);
+                self.cutoff.complete(work_us);
+            }
+            WorkClass::Long => self.long_running -= 1,
+        }
         if result.end == RunEnd::Rejected {
             self.limit.record_rejected();
         } else {
--- a/crates/policy/src/admission/concurrency_limit.rs
+++ b/crates/policy/src/admission/concurrency_limit.rs
@@ -4,8 +4,33 @@
 /// any concurrency. A server that only queues requests would show about half.
 const UNIFORM_SHARE: f64 = 0.75;
 
-/// Samples that settle the comparison at half the concurrency.
-const COMPARISON_SAMPLES: u32 = 8;
+/// Samples that settle the comparison at half the concurrency, and those that do so after
+/// `COMPARISON_US`.
+const COMPARISON_SAMPLES: u32 = 32;
+const FEW_COMPARISON_SAMPLES: u32 = 8;
+
+/// Time after which few samples settle the comparison, and after which it ends anyway, in µs.
+const COMPARISON_US: u64 = 250_000;
+const MAX_COMPARISON_US: u64 = 2_000_000;
+
+/// Latencies that pass at half the concurrency before samples count. Runs that began before would
+/// make the server look slow, and counting only runs that began since would count short ones
+/// first.
+const SETTLING_LATENCIES: f64 = 1.5;
+
+/// Latencies that a window spans at least. Samples tell of the concurrency one latency ago, so a
+/// faster change would overshoot.
+const WINDOW_LATENCIES: f64 = 1.5;
+
+/// Growth as a share of the limit in a window that tells little about a higher limit: the latency
+/// is raised but tolerated, or too few requests ran to test the present limit.
+const CAUTIOUS_GROWTH: f64 = 0.02;
+
+/// Windows of growth that one interval without events counts for.
+const MAX_GROWTH_WINDOWS: u64 = 200;
+
+/// Share of the limit that must have been in use for the limit to grow fast.
+const USED_SHARE: f64 = 0.7;
 
 /// Largest interval between two forced halvings, in µs.
 const MAX_HALVING_AFTER_US: u64 = 8_000_000;
@@ -30,10 +55,12 @@
     halved: Option<Halved>,
 }
 
-/// Samples of runs that started at half the concurrency of the onset.
+/// Samples at half the concurrency of the onset.
 #[derive(Debug, Clone, Copy)]
 struct Halved {
     since_us: u64,
+    /// Time from which samples count; none before the concurrency has halved.
+    from_us: Option<u64>,
     is_forced: bool,
     count: u32,
     sum: f64,
@@ -42,8 +69,10 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Window {
     start_us: u64,
+    most_in_flight: u32,
     count: u32,
     sum: f64,
+    latency_sum_us: f64,
     rejected: u32,
 }
 
@@ -67,6 +96,7 @@
     congestion: Option<Congestion>,
     halving_after_us: u64,
     last_ratio: f64,
+    last_latency_us: f64,
 }
 
 impl ConcurrencyLimit {
@@ -80,6 +110,7 @@
             congestion: None,
             halving_after_us: settings.halving_after_us,
             last_ratio: 1.0,
+            last_latency_us: 0.0,
         }
     }
 
@@ -111,21 +142,33 @@
     pub(super) fn restart(&mut self) {
         self.limit = (self.slots * self.settings.initial_share).max(1.0);
         self.congestion = None;
+        self.last_ratio = 1.0;
     }
 
-    /// Records the latency of a run that started at `started_us`, relative to the baseline.
-    pub(super) fn record(&mut self, ratio: f64, started_us: u64) {
+    /// Records the latency of a run, in µs, and relative to the baseline.
+    pub(super) fn record(&mut self, latency_us: f64, ratio: f64, now_us: u64) {
         let ratio = ratio.min(MAX_RATIO);
         self.window.count += 1;
         self.window.sum += ratio;
+        self.window.latency_sum_us += latency_us;
         if let Some(halved) = self.congestion.as_mut().and_then(|c| c.halved.as_mut()) {
-            if started_us >= halved.since_us {
+            if halved.from_us.is_some_and(|from_us| now_us >= from_us) {
                 halved.count += 1;
                 halved.sum += ratio;
             }
         }
     }
 
+    /// Latency relative to the uncongested latency in the last window.
+    pub(super) fn last_ratio(&self) -> f64 {
+        self.last_ratio
+    }
+
+    /// Records the number of runs after one has started.
+    pub(super) fn record_start(&mut self, in_flight: u32) {
+        self.window.most_in_flight = self.window.most_in_flight.max(in_flight);
+    }
+
     /// Records a refusal by the server.
     pub(super) fn record_rejected(&mut self) {
         self.window.rejected += 1;
@@ -134,8 +177,11 @@
     /// Time at which the window ends, unless further samples fill it earlier, in µs.
     pub(super) fn window_end_us(&self) -> u64 {
         let is_filled = self.window.count + self.window.rejected >= self.settings.min_samples;
-        let length_us =
-            if is_filled { self.settings.window_us } else { self.settings.max_window_us };
+        if !is_filled {
+            return self.window.start_us + self.settings.max_window_us;
+        }
+        let latencies_us = (self.last_latency_us * WINDOW_LATENCIES) as u64;
+        let length_us = self.settings.window_us.max(latencies_us).min(self.settings.max_window_us);
         self.window.start_us + length_us
     }
 
@@ -143,16 +189,18 @@
     /// Returns a factor by which the baselines must be multiplied, if they are outdated.
     pub(super) fn close_window(&mut self, in_flight: u32, now_us: u64) -> Option<f64> {
         let window = self.window;
-        self.window = Window { start_us: now_us, ..Window::default() };
+        self.window = Window { start_us: now_us, most_in_flight: in_flight, ..Window::default() };
         let age_us = now_us.saturating_sub(window.start_us);
         let is_measured = window.count + window.rejected >= self.settings.min_samples / 2;
         if !is_measured {
-            self.grow(age_us);
+            self.last_ratio = 1.0;
+            self.grow(&window, age_us);
             // Few samples cannot confirm congestion; a halved limit may be the very cause.
             return self.compare(None, in_flight, now_us);
         }
         let ratio = if window.count > 0 { window.sum / f64::from(window.count) } else { 1.0 };
         self.last_ratio = ratio;
+        self.last_latency_us = window.latency_sum_us / f64::from(window.count.max(1));
         if window.rejected > 0 {
             let rejected = f64::from(window.rejected);
             let share = rejected / (rejected + f64::from(window.count));
@@ -161,12 +209,13 @@
             self.limit = (base * (1.0 - share / 2.0)).max(self.floor());
         } else if ratio <= self.settings.latency_tolerance {
             self.congestion = self.congestion.filter(|c| c.halved.is_some_and(|h| h.is_forced));
-            self.grow(age_us);
+            self.grow(&window, age_us);
         } else {
             self.decrease(ratio, now_us);
         }
         if ratio < OUTDATED_RATIO {
             // The square root damps a window of few and lucky samples.
+            self.last_ratio = ratio.sqrt();
             return Some(ratio.sqrt());
         }
         self.compare(Some(ratio), in_flight, now_us)
@@ -176,87 +225,87 @@
         (self.slots * self.settings.min_share).max(1.0)
     }
 
-    fn grow(&mut self, age_us: u64) {
+    /// Grows by a square root, or cautiously, for every window that has passed.
+    fn grow(&mut self, window: &Window, age_us: u64) {
         if self.congestion.is_some() {
             return;
         }
-        self.halving_after_us = self.settings.halving_after_us;
-        let windows = (age_us / self.settings.window_us.max(1)).clamp(1, 1000);
+        let is_used = f64::from(window.most_in_flight) >= self.limit * USED_SHARE;
+        let is_fast = is_used && self.last_ratio <= UNCONGESTED_RATIO;
+        if is_fast {
+            self.halving_after_us = self.settings.halving_after_us;
+        }
+        let windows = (age_us / self.settings.window_us.max(1)).clamp(1, MAX_GROWTH_WINDOWS);
         for _ in 0..windows {
-            self.limit += self.limit.sqrt();
-            if self.limit >= self.slots {
-                break;
-            }
+            self.limit += if is_fast { self.limit.sqrt() } else { self.limit * CAUTIOUS_GROWTH };
         }
         self.limit = self.limit.min(self.slots);
     }
 
     fn decrease(&mut self, ratio: f64, now_us: u64) {
-        if self.congestion.is_some_and(|c| c.halved.is_some_and(|h| h.is_forced)) {
-            return;
-        }
-        let congestion = self.congestion.get_or_insert(Congestion {
-            onset_us: now_us,
-            limit: self.limit,
-            ratio,
-            halved: None,
-        });
-        if congestion.halved.is_none() {
+        let onset = Congestion { onset_us: now_us, limit: self.limit, ratio, halved: None };
+        let floor = self.floor();
+        let congestion = self.congestion.get_or_insert(onset);
+        // Runs that end before the comparison counts began at the full concurrency.
+        let is_counting = |halved: Halved| halved.from_us.is_some_and(|from_us| now_us >= from_us);
+        if !congestion.halved.is_some_and(is_counting) {
             congestion.ratio = congestion.ratio.max(ratio);
         }
+        if congestion.halved.is_some() {
+            return;
+        }
         let gradient = (self.settings.latency_tolerance / ratio).clamp(0.5, 1.0);
-        let limit = self.limit * gradient + self.limit.sqrt() / 2.0;
-        self.limit = limit.clamp(self.floor(), self.slots);
+        let half = (congestion.limit / 2.0).max(floor);
+        self.limit = (self.limit * gradient).max(half);
     }
 
     /// Compares latency at half the concurrency with latency at the onset of congestion.
     fn compare(&mut self, ratio: Option<f64>, in_flight: u32, now_us: u64) -> Option<f64> {
         let floor = self.floor();
         let congestion = self.congestion.as_mut()?;
-        let half = (congestion.limit / 2.0).max(floor);
-        let Some(halved) = congestion.halved else {
+        let Some(halved) = congestion.halved.as_mut() else {
             let is_long = now_us.saturating_sub(congestion.onset_us) >= self.halving_after_us;
-            let is_half = self.limit <= half;
+            let is_half = self.limit <= (congestion.limit / 2.0).max(floor);
             if is_long && !is_half {
                 congestion.limit = self.limit;
                 congestion.ratio = ratio.unwrap_or(congestion.ratio);
             }
             if is_long || is_half {
-                let is_forced = !is_half;
-                congestion.halved =
-                    Some(Halved { since_us: now_us, is_forced, count: 0, sum: 0.0 });
+                congestion.halved = Some(Halved {
+                    since_us: now_us,
+                    from_us: None,
+                    is_forced: !is_half,
+                    count: 0,
+                    sum: 0.0,
+                });
             }
             return None;
         };
-        if halved.count == 0 && f64::from(in_flight) > half + 1.0 {
-            // Runs of the time before the decrease still slow the server.
-            congestion.halved = Some(Halved { since_us: now_us, ..halved });
-            return None;
+        let half = (congestion.limit / 2.0).max(floor);
+        if halved.from_us.is_none() && f64::from(in_flight) <= half + 1.0 {
+            let settling_us = (self.last_latency_us * SETTLING_LATENCIES) as u64;
+            halved.from_us = Some(now_us + settling_us.min(self.settings.halving_after_us));
         }
-        let waited_us = now_us.saturating_sub(halved.since_us);
-        let is_idle =
-            halved.count == 0 && waited_us >= self.settings.max_window_us && in_flight == 0;
-        if is_idle {
+        let counted_us = now_us.saturating_sub(halved.from_us.unwrap_or(now_us));
+        if now_us.saturating_sub(halved.since_us) >= MAX_COMPARISON_US {
             self.congestion = None;
             return None;
         }
-        if halved.count < COMPARISON_SAMPLES {
+        let is_few = halved.count < COMPARISON_SAMPLES;
+        if is_few && (halved.count < FEW_COMPARISON_SAMPLES || counted_us < COMPARISON_US) {
             return None;
         }
         let measured = halved.sum / f64::from(halved.count);
-        if measured >= UNIFORM_SHARE * congestion.ratio || measured <= 1.0 {
-            self.congestion = None;
-            return (measured > 1.0).then_some(measured);
-        }
-        if halved.is_forced {
+        let is_uniform = measured >= UNIFORM_SHARE * congestion.ratio;
+        if is_uniform || halved.is_forced {
+            // After a long time of congestion the limit is steady, and half of it is uncongested.
             self.halving_after_us = (self.halving_after_us * 2).min(MAX_HALVING_AFTER_US);
+            self.congestion = None;
+            self.last_ratio = 1.0;
+            return Some(measured);
         }
-        *congestion = Congestion {
-            onset_us: now_us,
-            limit: self.limit.max(floor),
-            ratio: measured,
-            halved: None,
-        };
+        *congestion =
+            Congestion { onset_us: now_us, limit: self.limit, ratio: measured, halved: None };
         None
     }
 }
--- a/crates/policy/src/admission/run_times.rs
+++ b/crates/policy/src/admission/run_times.rs
@@ -19,6 +19,7 @@
     samples: u32,
     mean_us: f64,
     baseline_us: f64,
+    baseline_run_us: f64,
     last_us: u64,
 }
 
@@ -63,6 +64,7 @@
         if is_uncongested || bucket.baseline_us == 0.0 {
             let weight = BASELINE_WEIGHT.max(first_weight);
             bucket.baseline_us += (first_byte_us.max(1) as f64 - bucket.baseline_us) * weight;
+            bucket.baseline_run_us += (run_us as f64 - bucket.baseline_run_us) * weight;
         }
         bucket.last_us = now_us;
     }
@@ -86,6 +88,7 @@
     pub(super) fn scale_baselines(&mut self, factor: f64) {
         for bucket in self.buckets.iter_mut().flatten() {
             bucket.baseline_us *= factor;
+            bucket.baseline_run_us *= factor;
         }
     }
 
@@ -96,10 +99,19 @@
         (bucket.mean_us as u64) >> halvings
     }
 
-    /// Slot time that a run is expected to use, in µs.
+    /// Slot time that a run is expected to use at present, in µs.
     pub(super) fn work_us(&self, class: WorkClass, expected_us: u64) -> u64 {
         let bucket = self.bucket(class, expected_us);
         let work_us = if bucket.samples > 0 { bucket.mean_us as u64 } else { expected_us };
         work_us.max(1)
     }
+
+    /// Slot time that a run uses without congestion, in µs. It does not change with concurrency,
+    /// so demand and capacity are compared in it.
+    pub(super) fn baseline_work_us(&self, class: WorkClass, expected_us: u64) -> u64 {
+        let bucket = self.bucket(class, expected_us);
+        let is_measured = bucket.samples > 0;
+        let work_us = if is_measured { bucket.baseline_run_us as u64 } else { expected_us };
+        work_us.max(1)
+    }
 }
--- a/crates/policy/src/admission/shed_cutoff.rs
+++ b/crates/policy/src/admission/shed_cutoff.rs
@@ -9,6 +9,9 @@
 /// Weight of the newest window in the demand; about 150 ms at the default window.
 const DEMAND_WEIGHT: f64 = 0.3;
 
+/// Weight of the newest window in the completed work.
+const CAPACITY_WEIGHT: f64 = 0.3;
+
 /// Weight of the newest request in the mean slot time of long requests.
 const LONG_WORK_WEIGHT: f64 = 1.0 / 16.0;
 
@@ -25,7 +28,20 @@
 /// Level that admits everything.
 const OPEN: u32 = 1 << 24;
 
-/// Demand of one rank: slot time offered in this window, in µs, and averages in slots.
+/// State of the gate at the end of a window.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Load {
+    pub(super) limit: u32,
+    pub(super) in_flight: u32,
+    pub(super) long_running: u32,
+    /// Latency relative to the uncongested latency.
+    pub(super) ratio: f64,
+    /// Time until the queued short work has started, in µs.
+    pub(super) queue_delay_us: u64,
+}
+
+/// Demand of one rank: slot time offered in this window, in µs, and averages in slots. Slot times
+/// are those without congestion.
 #[derive(Debug, Clone, Copy, Default)]
 struct RankDemand {
     short_admitted_us: u64,
@@ -46,7 +62,7 @@
 /// After DAGOR (Zhou et al., "Overload Control for Scaling WeChat Microservices", SoCC 2018):
 /// demand is counted per priority in short windows, and the cutoff is set where the sum of the
 /// demand of all more important work reaches the capacity. Ranks are followed by the hash within
-/// the rank. The capacity is corrected by the queueing delay, as in CoDel (Nichols and Jacobson,
+/// the rank. The capacity is what a busy server really completes. It is corrected by the queueing delay, as in CoDel (Nichols and Jacobson,
 /// 2012) with a short standing queue as the target.
 #[derive(Debug, Clone)]
 pub(super) struct ShedCutoff {
@@ -57,6 +73,10 @@
     level: u32,
     step: u32,
     overload: f64,
+    /// Slot time of the short work that ended in this window, in µs, and its average in slots
+    /// while the server was busy.
+    completed_us: u64,
+    completed: f64,
     /// Mean slot time of one long request, in µs.
     long_work_us: f64,
 }
@@ -70,6 +90,8 @@
             level: OPEN,
             step: FIRST_STEP,
             overload: 1.0,
+            completed_us: 0,
+            completed: 0.0,
             long_work_us: 0.0,
         }
     }
@@ -125,19 +147,48 @@
         now_us.saturating_sub(self.window_start_us)
     }
 
-    /// Sets the cutoff for the next window. `queue_delay_us` is the time that the queued short
-    /// work needs with `limit` slots.
-    pub(super) fn close_window(&mut self, limit: u32, queue_delay_us: u64, now_us: u64) {
+    /// Counts short work that has ended.
+    pub(super) fn complete(&mut self, work_us: u64) {
+        self.completed_us += work_us;
+    }
+
+    /// Follows a change of the uncongested latencies, in which all demand is counted.
+    pub(super) fn scale(&mut self, factor: f64) {
+        self.completed *= factor;
+        for demand in self.demand.values_mut() {
+            demand.short *= factor;
+            demand.long *= factor;
+        }
+    }
+
+    /// Capacity in slots without congestion.
+    fn capacity(&mut self, load: &Load, age_us: f64) -> f64 {
+        let nominal = f64::from(load.limit) / load.ratio.max(1.0);
+        let completed = self.completed_us as f64 / age_us;
+        self.completed_us = 0;
+        if load.in_flight < load.limit {
+            self.completed = 0.0;
+            return nominal;
+        }
+        if self.completed == 0.0 {
+            self.completed = completed.max(nominal - f64::from(load.long_running));
+        }
+        self.completed += (completed - self.completed) * CAPACITY_WEIGHT;
+        (self.completed + f64::from(load.long_running)).max(1.0)
+    }
+
+    /// Sets the cutoff for the next window.
+    pub(super) fn close_window(&mut self, load: &Load, now_us: u64) {
         let age_us = self.age_us(now_us).max(1) as f64;
         self.window_start_us = now_us;
         self.average(age_us);
+        let capacity = self.capacity(load, age_us);
         let settings = &self.settings;
-        let excess_us = settings.queue_target_us as f64 - queue_delay_us as f64;
+        let excess_us = settings.queue_target_us as f64 - load.queue_delay_us as f64;
         let correction = (1.0 + excess_us / settings.queue_horizon_us as f64).clamp(0.2, 1.2);
-        let capacity = f64::from(limit) * correction;
         let total: f64 = self.demand.values().map(RankDemand::total).sum();
-        self.overload = total / f64::from(limit.max(1));
-        let level = self.level_for(capacity);
+        self.overload = total / capacity.max(1.0);
+        let level = self.level_for(capacity * correction);
         if level <= self.level {
             self.level = level;
             self.step = FIRST_STEP;
