--- a/crates/tarragond/src/app/policies.rs
+++ b/crates/tarragond/src/app/policies.rs
@@ -1,4 +1,6 @@
 use tarragon_model::identity::InstanceId;
+use tarragon_policy::admission::AdaptiveAdmission;
+use tarragon_policy::admission::AdmissionSettings;
 use tarragon_policy::once::KeyTable;
 use tarragon_policy::once::OnceSettings;
 use tarragon_policy::retry::RetrySettings;
@@ -8,10 +10,6 @@
 
 use crate::conf::Settings;
 use crate::datapath::Policies;
-use crate::interim::FixedLimit;
-
-/// Slots assumed until the backend server announces its own.
-const DEFAULT_SLOTS: usize = 64;
 
 /// Builds the decisions of a node from its settings.
 pub fn policies(settings: &Settings, instance: InstanceId) -> Policies {
@@ -20,7 +18,7 @@
         RetrySettings { tokens_per_request: limits.retry_tokens, ..RetrySettings::default() };
     let once = OnceSettings { key_retention_s: limits.key_retention_s, ..OnceSettings::default() };
     Policies {
-        admission: Box::new(FixedLimit::new(DEFAULT_SLOTS, DEFAULT_SLOTS)),
+        admission: Box::new(AdaptiveAdmission::new(&AdmissionSettings::default())),
         route: Box::new(AdaptiveRouter::new(RoutingSettings::default(), instance.0)),
         retry: Box::new(TokenLedger::new(retry)),
         once: Box::new(KeyTable::new(instance, once)),
