Measure admission, routing and retries together over a call chain

Cause: the targets speak of whole requests through a chain; the other programs measure one gate or one router.

Change: an example of the policy package that drives the policies of twelve nodes in virtual time, naive beside adaptive, with a plot file.

--- /dev/null
+++ b/crates/policy/examples/measure_chain/deployment.rs
@@ -0,0 +1,60 @@
+//! Services, call chains and callers of the measured deployment.
+
+pub const SECOND_US: u64 = 1_000_000;
+
+/// A service of the measured deployment; each has a server in every data centre.
+pub struct Service {
+    pub name: &'static str,
+    pub slots: u32,
+    pub work_us: f64,
+    /// Index of the service that every request calls after its own work.
+    pub calls: Option<usize>,
+}
+
+/// Services with the slots of `docs/design.md`, section 1.3. The deepest one is the bottleneck.
+pub const SERVICES: [Service; 3] = [
+    Service { name: "passboard", slots: 20, work_us: 5_000.0, calls: Some(1) },
+    Service { name: "ripewatch", slots: 75, work_us: 5_000.0, calls: Some(2) },
+    Service { name: "scaletally", slots: 75, work_us: 100_000.0, calls: None },
+];
+
+pub const DATA_CENTRES: usize = 4;
+
+/// One-way delay between two nodes of different data centres, in µs.
+pub const REMOTE_DELAY_US: u64 = 4_500;
+
+/// One-way delay between two nodes of one data centre, in µs.
+pub const LOCAL_DELAY_US: u64 = 300;
+
+/// What a caller asks for.
+pub struct Operation {
+    pub service: usize,
+    pub rank: u8,
+    /// Share of the requests.
+    pub share: f64,
+}
+
+/// Operations, the most important first. All of them need the deepest service.
+pub const OPERATIONS: [Operation; 3] = [
+    Operation { service: 2, rank: 0, share: 0.08 },
+    Operation { service: 1, rank: 2, share: 0.77 },
+    Operation { service: 0, rank: 3, share: 0.15 },
+];
+
+/// Deadline of one request, in µs.
+pub const DEADLINE_US: u64 = SECOND_US;
+
+/// Requests that a caller sends until it gives up.
+pub const CALLER_TRIES: u32 = 4;
+
+/// Pause of a caller before it sends a request again, in µs.
+pub const CALLER_PAUSE_US: u64 = 50_000;
+
+/// Time from the first try within which an answer still counts, in µs.
+pub const PATIENCE_US: u64 = 2 * SECOND_US;
+
+/// Requests per second that keep the slots of the deepest service busy.
+pub fn capacity() -> f64 {
+    let deepest = &SERVICES[2];
+    DATA_CENTRES as f64 * f64::from(deepest.slots) * SECOND_US as f64 / deepest.work_us
+}
--- /dev/null
+++ b/crates/policy/examples/measure_chain/world.rs
@@ -0,0 +1,499 @@
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use tarragon_model::identity::InstanceId;
+use tarragon_model::identity::RequestId;
+use tarragon_model::identity::SpanId;
+use tarragon_model::member::BackendState;
+use tarragon_policy::admission::AdmissionAdvice;
+use tarragon_policy::admission::Offer;
+use tarragon_policy::admission::Release;
+use tarragon_policy::admission::RunEnd;
+use tarragon_policy::admission::RunResult;
+use tarragon_policy::admission::Ticket;
+use tarragon_policy::admission::Verdict;
+use tarragon_policy::admission::WorkClass;
+use tarragon_policy::routing::CallEnd;
+use tarragon_policy::routing::CallResult;
+use tarragon_policy::routing::Candidate;
+use tarragon_policy::routing::Distance;
+use tarragon_policy::routing::RouteDecision;
+use tarragon_policy::routing::RouteQuery;
+
+use crate::deployment::CALLER_PAUSE_US;
+use crate::deployment::CALLER_TRIES;
+use crate::deployment::DATA_CENTRES;
+use crate::deployment::DEADLINE_US;
+use crate::deployment::LOCAL_DELAY_US;
+use crate::deployment::OPERATIONS;
+use crate::deployment::REMOTE_DELAY_US;
+use crate::deployment::SECOND_US;
+use crate::deployment::SERVICES;
+use crate::node::Node;
+use crate::node::Version;
+use crate::record::Record;
+
+/// Retry tokens of a request.
+const RETRY_TOKENS: u32 = 3;
+
+/// Mean pause before a retry between nodes, in µs.
+const RETRY_PAUSE_US: u64 = 5_000;
+
+/// What a call returns to the hop above.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    Answered,
+    NotRun,
+    /// A hop below failed, or the deadline passed.
+    Failed,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    Arrival,
+    Enter(Caller),
+    Call(u64),
+    Arrive(u64),
+    Answer { call: u64, end: End, tokens: u32, advice: AdmissionAdvice },
+    ServerDue { node: usize, version: u64 },
+    GateDue { node: usize },
+    Deadline(u64),
+    Speed { service: usize, percent: u32 },
+}
+
+/// On whose behalf a call is made.
+#[derive(Debug, Clone, Copy)]
+struct Origin {
+    /// Execution that makes the call; none at the entry.
+    parent: Option<u64>,
+    caller: Caller,
+    request_id: RequestId,
+    span: SpanId,
+    deadline_us: u64,
+}
+
+/// A call from a node to a service, with its retries.
+struct Call {
+    node: usize,
+    service: usize,
+    origin: Origin,
+    excluded: Vec<InstanceId>,
+    target: usize,
+    sent_us: u64,
+    lent: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Caller {
+    operation: usize,
+    tries: u32,
+    first_us: u64,
+}
+
+#[derive(PartialEq, Eq)]
+enum Stage {
+    Waiting,
+    Working,
+    Calling,
+}
+
+/// A request at a gate.
+struct Execution {
+    call: u64,
+    node: usize,
+    span: SpanId,
+    ticket: Option<Ticket>,
+    stage: Stage,
+    started_us: u64,
+}
+
+pub struct World {
+    now_us: u64,
+    random: Pcg64Mcg,
+    version: Version,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: HashMap<u64, Event>,
+    sequence: u64,
+    nodes: Vec<Node>,
+    calls: HashMap<u64, Call>,
+    executions: HashMap<u64, Execution>,
+    tickets: HashMap<(usize, Ticket), u64>,
+    /// Requests per second over time: each entry holds from its time on.
+    demand: Vec<(u64, f64)>,
+    pub record: Record,
+}
+
+impl World {
+    pub fn new(version: Version, seed: u64, demand: Vec<(u64, f64)>) -> Self {
+        let count = DATA_CENTRES * SERVICES.len();
+        let mut world = Self {
+            now_us: 0,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            version,
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            sequence: 0,
+            nodes: (0..count).map(|at| Node::new(at, version, seed)).collect(),
+            calls: HashMap::new(),
+            executions: HashMap::new(),
+            tickets: HashMap::new(),
+            demand,
+            record: Record::default(),
+        };
+        for node in 0..count {
+            world.set_candidates(node);
+        }
+        world.at(1, Event::Arrival);
+        world
+    }
+
+    /// Changes the speed of all servers of a service at a time.
+    pub fn set_speed_at(&mut self, time_us: u64, service: usize, percent: u32) {
+        self.at(time_us, Event::Speed { service, percent });
+    }
+
+    pub fn run_until(&mut self, end_us: u64) {
+        while let Some(Reverse((time_us, sequence))) = self.queue.pop() {
+            if time_us > end_us {
+                break;
+            }
+            self.now_us = time_us;
+            let event = self.events.remove(&sequence).expect("every queued event is stored");
+            self.handle(event);
+        }
+    }
+
+    fn at(&mut self, time_us: u64, event: Event) {
+        self.sequence += 1;
+        self.queue.push(Reverse((time_us, self.sequence)));
+        self.events.insert(self.sequence, event);
+    }
+
+    fn next_id(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
+    fn set_candidates(&mut self, node: usize) {
+        let own = self.nodes[node].data_centre;
+        for (at, service) in SERVICES.iter().enumerate() {
+            let candidates: Vec<Candidate> = (0..DATA_CENTRES)
+                .map(|data_centre| Candidate {
+                    instance: InstanceId((at * DATA_CENTRES + data_centre) as u64),
+                    distance: if data_centre == own { Distance::Local } else { Distance::Region },
+                    state: BackendState::Ready,
+                })
+                .collect();
+            self.nodes[node].route.set_candidates(service.name, &candidates, 0);
+        }
+    }
+
+    fn delay_us(&self, a: usize, b: usize) -> u64 {
+        match (a == b, self.nodes[a].data_centre == self.nodes[b].data_centre) {
+            (true, _) => 0,
+            (false, true) => LOCAL_DELAY_US,
+            (false, false) => REMOTE_DELAY_US,
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival => self.arrival(),
+            Event::Call(call) => self.choose(call),
+            Event::Arrive(call) => self.arrive(call),
+            Event::Enter(caller) => self.enter(caller),
+            Event::Answer { call, end, tokens, advice } => self.answer(call, end, tokens, &advice),
+            Event::ServerDue { node, version } => self.server_due(node, version),
+            Event::GateDue { node } => self.poll(node),
+            Event::Deadline(execution) => self.expire(execution),
+            Event::Speed { service, percent } => {
+                for data_centre in 0..DATA_CENTRES {
+                    let node = service * DATA_CENTRES + data_centre;
+                    let speed = f64::from(percent) / 100.0;
+                    self.nodes[node].server.set_speed(speed, self.now_us);
+                    self.schedule_server(node);
+                }
+            }
+        }
+    }
+
+    fn arrival(&mut self) {
+        let rate = self.demand.iter().rev().find(|(from, _)| *from <= self.now_us);
+        let rate = rate.map_or(0.0, |(_, rate)| *rate).max(1.0);
+        let gap_us = -(1.0 - self.random.random::<f64>()).ln() * SECOND_US as f64 / rate;
+        self.at(self.now_us + gap_us as u64 + 1, Event::Arrival);
+        let mut draw = self.random.random::<f64>();
+        let drawn = OPERATIONS.iter().position(|operation| {
+            draw -= operation.share;
+            draw < 0.0
+        });
+        let operation = drawn.unwrap_or(0);
+        self.record.offered(OPERATIONS[operation].rank, self.now_us);
+        self.enter(Caller { operation, tries: 0, first_us: self.now_us });
+    }
+
+    /// A caller sends its request to a node of a random data centre.
+    fn enter(&mut self, caller: Caller) {
+        let service = OPERATIONS[caller.operation].service;
+        let node = self.random.random_range(0..DATA_CENTRES * SERVICES.len());
+        let counter = self.next_id();
+        let span = SpanId(counter);
+        self.nodes[node].retry.open(span, RETRY_TOKENS);
+        let request_id = RequestId { instance: InstanceId(node as u64), counter };
+        let deadline_us = self.now_us + DEADLINE_US;
+        let origin = Origin { parent: None, caller, request_id, span, deadline_us };
+        self.call(node, service, origin);
+    }
+
+    fn call(&mut self, node: usize, service: usize, origin: Origin) {
+        let id = self.next_id();
+        let excluded = Vec::new();
+        let call = Call { node, service, origin, excluded, target: 0, sent_us: 0, lent: 0 };
+        self.calls.insert(id, call);
+        self.nodes[node].retry.attempted(SERVICES[service].name, self.now_us);
+        self.choose(id);
+    }
+
+    fn choose(&mut self, id: u64) {
+        let now_us = self.now_us;
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let node = &mut self.nodes[call.node];
+        let name = SERVICES[call.service].name;
+        let query = RouteQuery {
+            service: name,
+            request_id: call.origin.request_id,
+            rank: OPERATIONS[call.origin.caller.operation].rank,
+            excluded: &call.excluded,
+            needs_proven: false,
+        };
+        if self.version == Version::Adaptive && now_us >= call.origin.deadline_us {
+            return self.call_ended(id, End::NotRun);
+        }
+        match node.route.choose(&query, now_us) {
+            RouteDecision::Refuse { .. } => self.call_ended(id, End::NotRun),
+            RouteDecision::Use(target) => {
+                call.target = target.0 as usize;
+                call.sent_us = now_us;
+                call.lent = node.retry.lend(call.origin.span);
+                node.route.started(name, target, now_us);
+                let (from, to) = (call.node, call.target);
+                self.at(now_us + self.delay_us(from, to), Event::Arrive(id));
+            }
+        }
+    }
+
+    fn arrive(&mut self, call_id: u64) {
+        let now_us = self.now_us;
+        let id = self.next_id();
+        let Some(call) = self.calls.get(&call_id) else { return };
+        let (node, deadline_us, lent) = (call.target, call.origin.deadline_us, call.lent);
+        let span = SpanId(id);
+        let offer = Offer {
+            request_id: call.origin.request_id,
+            rank: OPERATIONS[call.origin.caller.operation].rank,
+            class: WorkClass::Short,
+            expected_us: SERVICES[call.service].work_us as u64,
+            deadline_left_us: deadline_us.saturating_sub(now_us),
+        };
+        self.record.attempts += 1;
+        self.nodes[node].retry.open(span, lent);
+        let execution = Execution {
+            call: call_id,
+            node,
+            span,
+            ticket: None,
+            stage: Stage::Waiting,
+            started_us: now_us,
+        };
+        self.executions.insert(id, execution);
+        match self.nodes[node].gate.offer(&offer, now_us) {
+            Verdict::Run(ticket) => self.begin(id, ticket),
+            Verdict::Wait(ticket) => {
+                self.tickets.insert((node, ticket), id);
+                self.executions.get_mut(&id).expect("it was just stored").ticket = Some(ticket);
+            }
+            Verdict::Refuse(_) => self.reply(id, End::NotRun),
+        }
+        if self.version == Version::Adaptive && self.executions.contains_key(&id) {
+            self.at(deadline_us.max(now_us), Event::Deadline(id));
+        }
+        self.poll(node);
+    }
+
+    fn begin(&mut self, id: u64, ticket: Ticket) {
+        let now_us = self.now_us;
+        let execution = self.executions.get_mut(&id).expect("a run belongs to an execution");
+        execution.ticket = Some(ticket);
+        execution.stage = Stage::Working;
+        execution.started_us = now_us;
+        let node = execution.node;
+        let mean_us = SERVICES[self.nodes[node].service].work_us;
+        let draw = -(1.0 - self.random.random::<f64>()).ln();
+        // Half of the work is constant, since no request is free.
+        let work_us = mean_us * (0.5 + 0.5 * draw.min(8.0));
+        self.nodes[node].server.start(id, work_us, now_us);
+        self.schedule_server(node);
+    }
+
+    /// Applies what the gate decided about waiting requests.
+    fn poll(&mut self, node: usize) {
+        for release in self.nodes[node].gate.poll(self.now_us) {
+            match release {
+                Release::Run(ticket) => {
+                    if let Some(id) = self.tickets.remove(&(node, ticket)) {
+                        self.begin(id, ticket);
+                    }
+                }
+                Release::Refuse(ticket, _) => {
+                    if let Some(id) = self.tickets.remove(&(node, ticket)) {
+                        self.reply(id, End::NotRun);
+                    }
+                }
+            }
+        }
+        if let Some(due_us) = self.nodes[node].gate.next_poll_us() {
+            let due_us = due_us.max(self.now_us + 1);
+            if self.nodes[node].gate_due_us.is_none_or(|at| at <= self.now_us || due_us < at) {
+                self.nodes[node].gate_due_us = Some(due_us);
+                self.at(due_us, Event::GateDue { node });
+            }
+        }
+    }
+
+    fn schedule_server(&mut self, node: usize) {
+        self.nodes[node].server_version += 1;
+        let version = self.nodes[node].server_version;
+        if let Some(time_us) = self.nodes[node].server.next_end_us() {
+            self.at(time_us.max(self.now_us), Event::ServerDue { node, version });
+        }
+    }
+
+    fn server_due(&mut self, node: usize, version: u64) {
+        if version != self.nodes[node].server_version {
+            return;
+        }
+        while let Some(id) = self.nodes[node].server.take_ended(self.now_us) {
+            self.work_done(id);
+        }
+        self.schedule_server(node);
+    }
+
+    fn work_done(&mut self, id: u64) {
+        let execution = self.executions.get_mut(&id).expect("a job belongs to an execution");
+        let call = &self.calls[&execution.call];
+        let Some(next) = SERVICES[call.service].calls else {
+            return self.finish(id, End::Answered);
+        };
+        execution.stage = Stage::Calling;
+        let (node, span) = (execution.node, execution.span);
+        let origin = Origin { parent: Some(id), span, ..call.origin };
+        self.call(node, next, origin);
+    }
+
+    /// Ends a run and answers the hop above.
+    fn finish(&mut self, id: u64, end: End) {
+        let Some(execution) = self.executions.get(&id) else { return };
+        let run_us = self.now_us - execution.started_us;
+        let run_end = if end == End::Answered { RunEnd::Answered } else { RunEnd::Failed };
+        let result = RunResult { run_us, first_byte_us: run_us, end: run_end };
+        let (node, ticket) = (execution.node, execution.ticket.expect("a run has a ticket"));
+        self.nodes[node].gate.finish(ticket, &result, self.now_us);
+        self.reply(id, end);
+        self.poll(node);
+    }
+
+    fn reply(&mut self, id: u64, end: End) {
+        let Some(execution) = self.executions.remove(&id) else { return };
+        let node = execution.node;
+        let tokens = self.nodes[node].retry.close(execution.span);
+        let advice = self.nodes[node].gate.advice(self.now_us);
+        let Some(call) = self.calls.get(&execution.call) else { return };
+        let delay_us = self.delay_us(node, call.node);
+        let call = execution.call;
+        let answer = Event::Answer { call, end, tokens, advice };
+        self.at(self.now_us + delay_us, answer);
+    }
+
+    fn answer(&mut self, id: u64, end: End, tokens: u32, advice: &AdmissionAdvice) {
+        let now_us = self.now_us;
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let node = &mut self.nodes[call.node];
+        let name = SERVICES[call.service].name;
+        let target = InstanceId(call.target as u64);
+        let call_end = match end {
+            End::Answered | End::Failed => CallEnd::Answered,
+            End::NotRun => CallEnd::NotRun,
+        };
+        let result = CallResult { latency_us: now_us - call.sent_us, end: call_end };
+        node.route.finished(name, target, &result, now_us);
+        node.route.advise(name, target, advice, now_us);
+        node.retry.give_back(call.origin.span, tokens.min(call.lent));
+        let may_retry = match self.version {
+            Version::Adaptive => end == End::NotRun,
+            Version::Naive => end != End::Answered,
+        };
+        if may_retry && node.retry.take(call.origin.span, name, now_us) {
+            if self.version == Version::Adaptive {
+                call.excluded.push(target);
+            }
+            let pause_us = self.random.random_range(0..=2 * RETRY_PAUSE_US);
+            self.at(now_us + pause_us, Event::Call(id));
+            return;
+        }
+        self.call_ended(id, end);
+    }
+
+    fn call_ended(&mut self, id: u64, end: End) {
+        let Some(call) = self.calls.remove(&id) else { return };
+        match call.origin.parent {
+            Some(execution) => {
+                let is_calling =
+                    self.executions.get(&execution).is_some_and(|e| e.stage == Stage::Calling);
+                if is_calling {
+                    // A server whose own call failed answers with an error, so it has run.
+                    let end = if end == End::Answered { End::Answered } else { End::Failed };
+                    self.finish(execution, end);
+                }
+            }
+            None => {
+                self.nodes[call.node].retry.close(call.origin.span);
+                self.caller_ended(call.origin.caller, end, call.origin.deadline_us);
+            }
+        }
+    }
+
+    fn caller_ended(&mut self, caller: Caller, end: End, deadline_us: u64) {
+        let rank = OPERATIONS[caller.operation].rank;
+        if end == End::Answered && self.now_us <= deadline_us {
+            return self.record.answered(rank, caller.first_us, self.now_us);
+        }
+        let tries = caller.tries + 1;
+        if tries < CALLER_TRIES {
+            self.at(self.now_us + CALLER_PAUSE_US, Event::Enter(Caller { tries, ..caller }));
+        }
+    }
+
+    /// The deadline of a request passes: it is given up at this hop.
+    fn expire(&mut self, id: u64) {
+        let Some(execution) = self.executions.get(&id) else { return };
+        let (node, ticket) = (execution.node, execution.ticket.expect("it waits or runs"));
+        match execution.stage {
+            Stage::Waiting => {
+                self.nodes[node].gate.withdraw(ticket, self.now_us);
+                self.tickets.remove(&(node, ticket));
+                self.reply(id, End::NotRun);
+                self.poll(node);
+            }
+            Stage::Working => {
+                self.nodes[node].server.cancel(id, self.now_us);
+                self.schedule_server(node);
+                self.finish(id, End::Failed);
+            }
+            Stage::Calling => self.finish(id, End::Failed),
+        }
+    }
+}
