Wait for the hang-up in the test of a keyed run

Cause: in a trial with a fault put in on purpose (the run ends when its caller is gone), the test passed, because the answer could come before the hang-up had reached the gate.

Change: the gate counts calls whose caller hung up, and the test waits for the count before it lets the backend server answer.

Ruled out: a sleep in the test.

--- a/crates/tarragond/src/gate/gate_shell.rs
+++ b/crates/tarragond/src/gate/gate_shell.rs
@@ -134,7 +134,7 @@
             deadline: call.deadline,
             cancelled: CancellationToken::new(),
         };
-        let ledger = LedgerSpan::open(&self.retry, id, call.tokens);
+        let ledger = LedgerSpan::open(self, id, call.tokens);
         let span = self.spans.open(id, parent);
         let request_id = call.context.request_id;
         let result = match call.context.key.clone() {
@@ -269,27 +269,29 @@
 
 /// Retry tokens of an execution at this gate; dropping it loses them.
 struct LedgerSpan<'a> {
-    retry: &'a Mutex<Box<dyn RetryPolicy>>,
+    gate: &'a Gate,
     id: SpanId,
     is_open: bool,
 }
 
 impl<'a> LedgerSpan<'a> {
-    fn open(retry: &'a Mutex<Box<dyn RetryPolicy>>, id: SpanId, tokens: u32) -> Self {
-        retry.lock().expect("no holder of the lock panics").open(id, tokens);
-        Self { retry, id, is_open: true }
+    fn open(gate: &'a Gate, id: SpanId, tokens: u32) -> Self {
+        gate.retry.lock().expect("no holder of the lock panics").open(id, tokens);
+        Self { gate, id, is_open: true }
     }
 
     fn close(mut self) -> u32 {
         self.is_open = false;
-        self.retry.lock().expect("no holder of the lock panics").close(self.id)
+        self.gate.retry.lock().expect("no holder of the lock panics").close(self.id)
     }
 }
 
 impl Drop for LedgerSpan<'_> {
     fn drop(&mut self) {
         if self.is_open {
-            self.retry.lock().expect("no holder of the lock panics").close(self.id);
+            // The caller hung up before the head of the answer.
+            self.gate.metrics.count("gate.cancelled", 1);
+            self.gate.retry.lock().expect("no holder of the lock panics").close(self.id);
         }
     }
 }
--- a/crates/tarragond/tests/datapath/keys.rs
+++ b/crates/tarragond/tests/datapath/keys.rs
@@ -81,6 +81,9 @@
         _ = request(other.caller, "POST", "/weigh", &headers, "12 kg") => panic!("not released"),
         () = started.notified() => {}
     }
+    while owner.metrics.read("gate.cancelled") == 0 {
+        tokio::task::yield_now().await;
+    }
     permits.add_permits(1);
     let reply = request(other.caller, "POST", "/weigh", &headers, "12 kg").await;
     assert_eq!((reply.outcome(), reply.text().as_str()), ("answered", "weighed"));
