Test connection bounds, large keyed answers and cancellation below a server

Cause: the bounds on connections, answers that are too large to keep and the cancellation of calls further down were not covered.

Change: four tests.

Ruled out: nothing.

--- a/crates/tarragond/tests/datapath/cancel.rs
+++ b/crates/tarragond/tests/datapath/cancel.rs
@@ -1,8 +1,10 @@
 //! Callers that hang up, large uploads and drains.
 
+use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::sync::OnceLock;
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -13,6 +15,7 @@
 use hyper::body::Frame;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use tarragond::transport::empty;
 use tarragond::transport::Body;
 use tarragond::transport::BoxError;
 use tokio::io::AsyncWriteExt;
@@ -22,10 +25,20 @@
 
 use crate::calls::until_answered;
 use crate::support::request;
+use crate::support::send;
 use crate::support::text;
 use crate::support::Cluster;
 use crate::support::FakeBackend;
 
+/// Tells when a handler is dropped, as it is when its connection closes.
+struct TellOnDrop(Arc<Notify>);
+
+impl Drop for TellOnDrop {
+    fn drop(&mut self) {
+        self.0.notify_one();
+    }
+}
+
 /// Guards against work that goes on after its caller hung up in the middle of an upload.
 #[tokio::test]
 async fn a_hang_up_in_the_middle_of_an_upload_reaches_the_backend_server() {
@@ -63,12 +76,6 @@
 async fn a_hang_up_while_waiting_closes_the_backend_servers_connection() {
     let (started, dropped) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
     let (tell, end) = (Arc::clone(&started), Arc::clone(&dropped));
-    struct TellOnDrop(Arc<Notify>);
-    impl Drop for TellOnDrop {
-        fn drop(&mut self) {
-            self.0.notify_one();
-        }
-    }
     let backend = FakeBackend::start(move |request| {
         let (tell, end) = (Arc::clone(&tell), TellOnDrop(Arc::clone(&end)));
         async move {
@@ -180,3 +187,76 @@
     owner.stop().await;
     entry.stop().await;
 }
+
+/// Guards against work further down that goes on after the caller hung up, also if the backend
+/// server between does not notice.
+#[tokio::test]
+async fn a_hang_up_reaches_the_calls_of_a_backend_server_that_does_not_notice() {
+    let exit: Arc<OnceLock<SocketAddr>> = Arc::default();
+    let (started, dropped) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
+    let (known, tell, end) = (Arc::clone(&exit), Arc::clone(&started), Arc::clone(&dropped));
+    let backend = FakeBackend::start(move |incoming| {
+        let (known, tell, end) = (Arc::clone(&known), Arc::clone(&tell), Arc::clone(&end));
+        async move {
+            match incoming.uri().path() {
+                "/call" => {
+                    let mut call = Request::get("/leaf").header("host", "counter");
+                    for name in ["tarragon-request-id", "tarragon-span"] {
+                        call = call.header(name, &incoming.headers()[name]);
+                    }
+                    let call = call.body(empty()).unwrap();
+                    tokio::spawn(send(*known.get().unwrap(), call));
+                    std::future::pending::<()>().await;
+                }
+                "/leaf" => {
+                    let _end = TellOnDrop(end);
+                    tell.notify_one();
+                    std::future::pending::<()>().await;
+                }
+                _ => {}
+            }
+            text("")
+        }
+    })
+    .await;
+    let cluster = Cluster::new();
+    let owner = cluster.node("owner", Some(backend.address)).await;
+    exit.set(owner.exit).unwrap();
+    until_answered(&owner).await;
+    tokio::select! {
+        _ = request(owner.caller, "GET", "/call", &[], "") => panic!("no answer was given"),
+        () = started.notified() => {}
+    }
+    dropped.notified().await;
+    owner.gate.idle().await;
+}
+
+/// Guards against more connections to the backend server than it takes.
+#[tokio::test]
+async fn the_connections_to_the_backend_server_are_bounded_and_reused() {
+    let (running, most) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    let (now, largest) = (Arc::clone(&running), Arc::clone(&most));
+    let backend = FakeBackend::start(move |_| {
+        let (now, largest) = (Arc::clone(&now), Arc::clone(&largest));
+        async move {
+            largest.fetch_max(now.fetch_add(1, Ordering::SeqCst) + 1, Ordering::SeqCst);
+            for _ in 0..20 {
+                tokio::task::yield_now().await;
+            }
+            now.fetch_sub(1, Ordering::SeqCst);
+            text("seen")
+        }
+    })
+    .await;
+    let mut cluster = Cluster::new();
+    cluster.settings.max_backend_connections = 3;
+    let owner = cluster.node("owner", Some(backend.address)).await;
+    until_answered(&owner).await;
+    let calls = (0..60).map(|_| request(owner.caller, "GET", "/", &[], ""));
+    for reply in futures_util::future::join_all(calls).await {
+        assert_eq!((reply.outcome(), reply.reason()), ("answered", ""));
+    }
+    assert!(most.load(Ordering::SeqCst) <= 3);
+    let connections = backend.connections();
+    assert!(connections <= 10, "61 requests used {connections} connections");
+}
--- a/crates/tarragond/tests/datapath/keys.rs
+++ b/crates/tarragond/tests/datapath/keys.rs
@@ -61,6 +61,9 @@
             assert_eq!((reply.outcome(), reply.text().as_str()), ("answered", "weighed"));
         }
         assert_eq!(backend.count(), views + 1, "the key ran more than once");
+        let stranger = [headers[0], ("authorization", "someone else")];
+        let reply = request(other.caller, "POST", "/weigh", &stranger, "12 kg").await;
+        assert_eq!((reply.outcome(), reply.reason()), ("not-run", "key-mismatch"));
         let other_path = request(other.caller, "POST", "/weigh/2", &headers, "").await;
         assert_eq!((other_path.outcome(), other_path.reason()), ("not-run", "key-mismatch"));
     }
@@ -114,3 +117,22 @@
     assert_eq!((reply.outcome(), reply.reason()), ("not-run", "claim-unavailable"));
     assert_eq!(backend.count(), views);
 }
+
+/// Guards against an answer that is cut because it is too large to keep, and against a second run
+/// because it was not kept.
+#[tokio::test]
+async fn an_answer_that_is_too_large_to_keep_is_whole_and_its_key_does_not_run_again() {
+    let backend = FakeBackend::start(|_| async { text("x".repeat(100_000)) }).await;
+    let cluster = Cluster::new();
+    let owner = cluster.node("owner", Some(backend.address)).await;
+    let other = cluster.node("other", None).await;
+    until_answered(&other).await;
+    let views = backend.count();
+    let key = issued_key(&owner).await;
+    let headers = [("idempotency-key", key.as_str())];
+    let reply = request(other.caller, "POST", "/weigh", &headers, "12 kg").await;
+    assert_eq!((reply.outcome(), reply.text().len()), ("answered", 100_000));
+    let reply = request(other.caller, "POST", "/weigh", &headers, "12 kg").await;
+    assert_eq!((reply.outcome(), reply.reason()), ("unknown", "key-unknown"));
+    assert_eq!(backend.count(), views + 1);
+}
--- a/crates/tarragond/tests/datapath/lost.rs
+++ b/crates/tarragond/tests/datapath/lost.rs
@@ -251,3 +251,21 @@
         drop(stream);
     }
 }
+
+/// Guards against a connection for every call between two nodes.
+#[tokio::test]
+async fn two_connections_carry_all_calls_to_a_peer() {
+    let backend = FakeBackend::start(|_| async { text("seen") }).await;
+    let cluster = Cluster::new();
+    let (_owner, relay) = relayed(&cluster, &backend).await;
+    let entry = cluster.node("entry", None).await;
+    until_answered(&entry).await;
+    let calls = (0..100).map(|at| {
+        let (method, path) = if at % 2 == 0 { ("GET", "/") } else { ("PUT", "/photo") };
+        request(entry.caller, method, path, &[], "")
+    });
+    for reply in futures_util::future::join_all(calls).await {
+        assert_eq!(reply.outcome(), "answered");
+    }
+    assert_eq!(relay.accepted(), 2);
+}
--- a/crates/tarragond/tests/datapath/support/fake_backend.rs
+++ b/crates/tarragond/tests/datapath/support/fake_backend.rs
@@ -1,6 +1,8 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
 
@@ -21,6 +23,7 @@
 pub struct FakeBackend {
     pub address: SocketAddr,
     seen: Arc<Mutex<Vec<(String, HeaderMap)>>>,
+    connections: Arc<AtomicUsize>,
 }
 
 impl FakeBackend {
@@ -34,8 +37,11 @@
         let seen: Arc<Mutex<Vec<(String, HeaderMap)>>> = Arc::default();
         let record = Arc::clone(&seen);
         let answer = Arc::new(answer);
+        let connections: Arc<AtomicUsize> = Arc::default();
+        let counter = Arc::clone(&connections);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                counter.fetch_add(1, Ordering::SeqCst);
                 let (answer, record) = (Arc::clone(&answer), Arc::clone(&record));
                 let service = service_fn(move |request: Request<Incoming>| {
                     let head = (request.uri().to_string(), request.headers().clone());
@@ -46,7 +52,7 @@
                 tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
             }
         });
-        Self { address, seen }
+        Self { address, seen, connections }
     }
 
     /// Paths and headers of the requests so far.
@@ -54,6 +60,11 @@
         self.seen.lock().unwrap().clone()
     }
 
+    /// Number of connections so far.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+
     /// Number of requests so far.
     pub fn count(&self) -> usize {
         self.seen.lock().unwrap().len()
--- a/crates/tarragond/tests/datapath/support/relay.rs
+++ b/crates/tarragond/tests/datapath/support/relay.rs
@@ -1,4 +1,6 @@
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
 
@@ -11,6 +13,7 @@
 /// like a middlebox that lost its state.
 pub struct Relay {
     pub address: SocketAddr,
+    accepted: Arc<AtomicUsize>,
     silence: Arc<Mutex<CancellationToken>>,
 }
 
@@ -23,9 +26,12 @@
         let address = listener.local_addr().unwrap();
         let silence: Arc<Mutex<CancellationToken>> = Arc::default();
         let token = Arc::clone(&silence);
+        let accepted: Arc<AtomicUsize> = Arc::default();
+        let counter = Arc::clone(&accepted);
         let forward = move |target: SocketAddr| {
             tokio::spawn(async move {
                 while let Ok((mut inward, _)) = listener.accept().await {
+                    counter.fetch_add(1, Ordering::SeqCst);
                     let silenced = token.lock().unwrap().clone();
                     tokio::spawn(async move {
                         let mut outward = TcpStream::connect(target).await.unwrap();
@@ -41,7 +47,12 @@
                 }
             });
         };
-        (Self { address, silence }, forward)
+        (Self { address, accepted, silence }, forward)
+    }
+
+    /// Number of connections so far.
+    pub fn accepted(&self) -> usize {
+        self.accepted.load(Ordering::SeqCst)
     }
 
     /// Makes the present connections silent.
