Report unknown if an earlier attempt may have run

Change: a refusal of a later attempt does not replace `unknown`, and a test.

Ruled out: no retry after such a failure; idempotent work would then fail while another server is there.

--- a/crates/tarragond/src/entry/forwarder.rs
+++ b/crates/tarragond/src/entry/forwarder.rs
@@ -97,6 +97,23 @@
             Some(key) => Some(self.owner(call, key).await?),
             None => None,
         };
+        let mut unknown = None;
+        let result = self.try_targets(call, owner, &mut unknown).await;
+        // A refusal of a later attempt says nothing about an earlier one that may have run.
+        result.map_err(|failure| match unknown {
+            Some(unknown) if failure.is_not_run() => unknown,
+            _ => failure,
+        })
+    }
+
+    /// Sends the call to one target after the other; `unknown` tells of an attempt that may have
+    /// run.
+    async fn try_targets(
+        &self,
+        call: &OutgoingCall,
+        owner: Option<InstanceId>,
+        unknown: &mut Option<Failure>,
+    ) -> Result<Response<Body>, Failure> {
         let mut excluded = Vec::new();
         let mut last = None;
         loop {
@@ -108,6 +125,9 @@
                 Ok(response) => return Ok(response),
                 Err(failure) => failure,
             };
+            if !failure.is_not_run() {
+                *unknown = Some(failure);
+            }
             if !may_repeat(call, failure) || !self.take_token(call) {
                 return Err(failure);
             }
--- a/crates/tarragond/tests/datapath/lost.rs
+++ b/crates/tarragond/tests/datapath/lost.rs
@@ -154,6 +154,21 @@
     assert_eq!(backend.count(), before + 5);
 }
 
+/// Guards against `not-run` for a request whose first attempt ran, because a later one was refused.
+#[tokio::test]
+async fn a_refused_retry_of_a_request_that_may_have_run_is_unknown() {
+    let failing = raw_backend(b"").await;
+    let cluster = Cluster::new();
+    let first = cluster.node("first", Some(failing)).await;
+    let second = cluster.node("second", Some(failing)).await;
+    second.gate.set_drain(true);
+    until_routed(&first).await;
+    let retried = first.metrics.read("route.retried");
+    let reply = request(first.caller, "GET", "/", &[], "").await;
+    assert_eq!((reply.outcome(), reply.reason()), ("unknown", "connection-lost"));
+    assert!(first.metrics.read("route.retried") > retried);
+}
+
 /// Guards against retries without a bound while every server fails.
 #[tokio::test]
 async fn a_request_is_sent_again_at_most_as_often_as_it_has_tokens() {
