--- a/crates/tarragond/src/entry/forwarder.rs
+++ b/crates/tarragond/src/entry/forwarder.rs
@@ -100,6 +100,22 @@
     }
 
     async fn forward_plain(&self, call: &OutgoingCall) -> Result<Response<Body>, Failure> {
+        let mut unknown = None;
+        let result = self.try_targets(call, &mut unknown).await;
+        // A refusal of a later attempt says nothing about an earlier one that may have run.
+        result.map_err(|failure| match unknown {
+            Some(unknown) if failure.is_not_run() => unknown,
+            _ => failure,
+        })
+    }
+
+    /// Sends the call to one target after the other; `unknown` tells of an attempt that may have
+    /// run.
+    async fn try_targets(
+        &self,
+        call: &OutgoingCall,
+        unknown: &mut Option<Failure>,
+    ) -> Result<Response<Body>, Failure> {
         let mut excluded = Vec::new();
         let mut last = None;
         loop {
@@ -108,6 +124,9 @@
                 Ok(response) => return Ok(response),
                 Err(failed) => failed.failure,
             };
+            if !failure.is_not_run() {
+                *unknown = Some(failure);
+            }
             if !may_repeat(call, failure) || !self.take_token(call) {
                 return Err(failure);
             }
