--- a/crates/policy/src/admission/adaptive.rs
+++ b/crates/policy/src/admission/adaptive.rs
@@ -169,12 +169,15 @@
 
     /// Makes room in a full queue. Returns false if nothing is less worth keeping.
     fn make_room(&mut self, rank: u8, hash: u16) -> bool {
-        if self.queue.len() + self.evicted.len() < self.settings.max_queue {
-            return true;
-        }
+        let is_full = self.queue.len() + self.evicted.len() >= self.settings.max_queue;
+        !is_full || self.evict_below(rank, hash)
+    }
+
+    /// Evicts the waiting request that is least worth keeping, if it is worth less than this.
+    fn evict_below(&mut self, rank: u8, hash: u16) -> bool {
         let worst = self.queue.least_worth().filter(|w| (w.rank, w.hash) > (rank, hash));
         let Some(ticket) = worst.map(|worst| worst.ticket) else { return false };
-        // The evicted stay counted until they are polled, so at most twice the bound is kept.
+        // The evicted are kept until they are polled; this bounds them.
         if self.evicted.len() >= self.settings.max_queue {
             return false;
         }
@@ -235,7 +238,8 @@
         if deadline_left_us == 0 || run_us > deadline_left_us {
             return Verdict::Refuse(self.refusal(Reason::Late));
         }
-        if !is_admitted {
+        // Work that was admitted under an earlier, higher cutoff gives way first.
+        if !is_admitted && !self.evict_below(rank, hash) {
             return Verdict::Refuse(self.refusal(Reason::Shed));
         }
         self.last_ticket += 1;
--- a/crates/policy/src/admission/concurrency_limit.rs
+++ b/crates/policy/src/admission/concurrency_limit.rs
@@ -1,10 +1,14 @@
 use crate::admission::AdmissionSettings;
 
-/// Part of the latency that must remain at half the concurrency for the server to count as slow at
-/// any concurrency. A server that only queues requests would show about half.
+/// Share to which concurrency is reduced to learn whether latency depends on it.
+const REDUCED_SHARE: f64 = 1.0 / 3.0;
+
+/// Part of the latency that must remain at the reduced concurrency for the server to count as slow
+/// at any concurrency. A server that only queues requests would show about a third, or up to two
+/// thirds where the latency at the onset was averaged with that before it.
 const UNIFORM_SHARE: f64 = 0.75;
 
-/// Samples that settle the comparison at half the concurrency, and those that do so after
+/// Samples that settle the comparison at the reduced concurrency, and those that do so after
 /// `COMPARISON_US`.
 const COMPARISON_SAMPLES: u32 = 32;
 const FEW_COMPARISON_SAMPLES: u32 = 8;
@@ -13,7 +17,7 @@
 const COMPARISON_US: u64 = 250_000;
 const MAX_COMPARISON_US: u64 = 2_000_000;
 
-/// Latencies that pass at half the concurrency before samples count. Runs that began before would
+/// Latencies that pass at the reduced concurrency before samples count. Runs that began before would
 /// make the server look slow, and counting only runs that began since would count short ones
 /// first.
 const SETTLING_LATENCIES: f64 = 1.5;
@@ -32,8 +36,8 @@
 /// Share of the limit that must have been in use for the limit to grow fast.
 const USED_SHARE: f64 = 0.7;
 
-/// Largest interval between two forced halvings, in µs.
-const MAX_HALVING_AFTER_US: u64 = 8_000_000;
+/// Largest interval between two forced reductions, in µs.
+const MAX_REDUCTION_AFTER_US: u64 = 8_000_000;
 
 /// Relative latency below which the baseline is taken to be outdated rather than the samples
 /// lucky.
@@ -52,14 +56,14 @@
     onset_us: u64,
     limit: f64,
     ratio: f64,
-    halved: Option<Halved>,
+    reduced: Option<Reduced>,
 }
 
-/// Samples at half the concurrency of the onset.
+/// Samples at the reduced concurrency.
 #[derive(Debug, Clone, Copy)]
-struct Halved {
+struct Reduced {
     since_us: u64,
-    /// Time from which samples count; none before the concurrency has halved.
+    /// Time from which samples count; none before the concurrency has fallen.
     from_us: Option<u64>,
     is_forced: bool,
     count: u32,
@@ -84,8 +88,8 @@
 /// Refusals by the server decrease the limit as losses do in AIMD (Chiu and Jain, 1989).
 ///
 /// The gradient alone stays low for ever when the server is slower at any concurrency, because
-/// its latency never returns to the baseline. So latency at half the concurrency is compared with
-/// latency at the onset of congestion: if it has not dropped, the baseline is replaced. Without
+/// its latency never returns to the baseline. So latency at a third of the concurrency is compared
+/// with latency at the onset of congestion: if it has not dropped, the baseline is replaced. Without
 /// congestion the limit always grows, also while idle.
 #[derive(Debug, Clone)]
 pub(super) struct ConcurrencyLimit {
@@ -94,7 +98,7 @@
     limit: f64,
     window: Window,
     congestion: Option<Congestion>,
-    halving_after_us: u64,
+    reduction_after_us: u64,
     last_ratio: f64,
     last_latency_us: f64,
 }
@@ -108,7 +112,7 @@
             limit: (slots * settings.initial_share).max(1.0),
             window: Window::default(),
             congestion: None,
-            halving_after_us: settings.halving_after_us,
+            reduction_after_us: settings.reduction_after_us,
             last_ratio: 1.0,
             last_latency_us: 0.0,
         }
@@ -116,9 +120,9 @@
 
     /// Present limit, at least one.
     pub(super) fn value(&self) -> u32 {
-        let is_forced = |c: &Congestion| c.halved.is_some_and(|h| h.is_forced);
+        let is_forced = |c: &Congestion| c.reduced.is_some_and(|h| h.is_forced);
         let limit = match self.congestion.filter(is_forced) {
-            Some(congestion) => congestion.limit / 2.0,
+            Some(congestion) => congestion.limit * REDUCED_SHARE,
             None => self.limit,
         };
         limit.max(self.floor()) as u32
@@ -151,10 +155,10 @@
         self.window.count += 1;
         self.window.sum += ratio;
         self.window.latency_sum_us += latency_us;
-        if let Some(halved) = self.congestion.as_mut().and_then(|c| c.halved.as_mut()) {
-            if halved.from_us.is_some_and(|from_us| now_us >= from_us) {
-                halved.count += 1;
-                halved.sum += ratio;
+        if let Some(reduced) = self.congestion.as_mut().and_then(|c| c.reduced.as_mut()) {
+            if reduced.from_us.is_some_and(|from_us| now_us >= from_us) {
+                reduced.count += 1;
+                reduced.sum += ratio;
             }
         }
     }
@@ -194,8 +198,10 @@
         let is_measured = window.count + window.rejected >= self.settings.min_samples / 2;
         if !is_measured {
             self.last_ratio = 1.0;
+            // An idle server is not congested.
+            self.congestion = self.congestion.filter(|_| window.most_in_flight > 0);
             self.grow(&window, age_us);
-            // Few samples cannot confirm congestion; a halved limit may be the very cause.
+            // Few samples cannot confirm congestion; a reduced limit may be the very cause.
             return self.compare(None, in_flight, now_us);
         }
         let ratio = if window.count > 0 { window.sum / f64::from(window.count) } else { 1.0 };
@@ -208,7 +214,7 @@
             let base = self.limit.min(f64::from(in_flight.max(1)) * 2.0);
             self.limit = (base * (1.0 - share / 2.0)).max(self.floor());
         } else if ratio <= self.settings.latency_tolerance {
-            self.congestion = self.congestion.filter(|c| c.halved.is_some_and(|h| h.is_forced));
+            self.congestion = self.congestion.filter(|c| c.reduced.is_some_and(|h| h.is_forced));
             self.grow(&window, age_us);
         } else {
             self.decrease(ratio, now_us);
@@ -233,7 +239,7 @@
         let is_used = f64::from(window.most_in_flight) >= self.limit * USED_SHARE;
         let is_fast = is_used && self.last_ratio <= UNCONGESTED_RATIO;
         if is_fast {
-            self.halving_after_us = self.settings.halving_after_us;
+            self.reduction_after_us = self.settings.reduction_after_us;
         }
         let windows = (age_us / self.settings.window_us.max(1)).clamp(1, MAX_GROWTH_WINDOWS);
         for _ in 0..windows {
@@ -243,69 +249,70 @@
     }
 
     fn decrease(&mut self, ratio: f64, now_us: u64) {
-        let onset = Congestion { onset_us: now_us, limit: self.limit, ratio, halved: None };
+        let onset = Congestion { onset_us: now_us, limit: self.limit, ratio, reduced: None };
         let floor = self.floor();
         let congestion = self.congestion.get_or_insert(onset);
         // Runs that end before the comparison counts began at the full concurrency.
-        let is_counting = |halved: Halved| halved.from_us.is_some_and(|from_us| now_us >= from_us);
-        if !congestion.halved.is_some_and(is_counting) {
+        let is_counting =
+            |reduced: Reduced| reduced.from_us.is_some_and(|from_us| now_us >= from_us);
+        if !congestion.reduced.is_some_and(is_counting) {
             congestion.ratio = congestion.ratio.max(ratio);
         }
-        if congestion.halved.is_some() {
+        if congestion.reduced.is_some() {
             return;
         }
         let gradient = (self.settings.latency_tolerance / ratio).clamp(0.5, 1.0);
-        let half = (congestion.limit / 2.0).max(floor);
-        self.limit = (self.limit * gradient).max(half);
+        let reduced_limit = (congestion.limit * REDUCED_SHARE).max(floor);
+        self.limit = (self.limit * gradient).max(reduced_limit);
     }
 
-    /// Compares latency at half the concurrency with latency at the onset of congestion.
+    /// Compares latency at the reduced concurrency with latency at the onset of congestion.
     fn compare(&mut self, ratio: Option<f64>, in_flight: u32, now_us: u64) -> Option<f64> {
         let floor = self.floor();
         let congestion = self.congestion.as_mut()?;
-        let Some(halved) = congestion.halved.as_mut() else {
-            let is_long = now_us.saturating_sub(congestion.onset_us) >= self.halving_after_us;
-            let is_half = self.limit <= (congestion.limit / 2.0).max(floor);
-            if is_long && !is_half {
+        let Some(reduced) = congestion.reduced.as_mut() else {
+            let is_long = now_us.saturating_sub(congestion.onset_us) >= self.reduction_after_us;
+            let is_reduced = self.limit <= (congestion.limit * REDUCED_SHARE).max(floor);
+            if is_long && !is_reduced {
                 congestion.limit = self.limit;
                 congestion.ratio = ratio.unwrap_or(congestion.ratio);
             }
-            if is_long || is_half {
-                congestion.halved = Some(Halved {
+            if is_long || is_reduced {
+                congestion.reduced = Some(Reduced {
                     since_us: now_us,
                     from_us: None,
-                    is_forced: !is_half,
+                    is_forced: !is_reduced,
                     count: 0,
                     sum: 0.0,
                 });
             }
             return None;
         };
-        let half = (congestion.limit / 2.0).max(floor);
-        if halved.from_us.is_none() && f64::from(in_flight) <= half + 1.0 {
+        let reduced_limit = (congestion.limit * REDUCED_SHARE).max(floor);
+        if reduced.from_us.is_none() && f64::from(in_flight) <= reduced_limit + 1.0 {
             let settling_us = (self.last_latency_us * SETTLING_LATENCIES) as u64;
-            halved.from_us = Some(now_us + settling_us.min(self.settings.halving_after_us));
+            reduced.from_us = Some(now_us + settling_us.min(self.settings.reduction_after_us));
         }
-        let counted_us = now_us.saturating_sub(halved.from_us.unwrap_or(now_us));
-        if now_us.saturating_sub(halved.since_us) >= MAX_COMPARISON_US {
+        let counted_us = now_us.saturating_sub(reduced.from_us.unwrap_or(now_us));
+        if now_us.saturating_sub(reduced.since_us) >= MAX_COMPARISON_US {
             self.congestion = None;
             return None;
         }
-        let is_few = halved.count < COMPARISON_SAMPLES;
-        if is_few && (halved.count < FEW_COMPARISON_SAMPLES || counted_us < COMPARISON_US) {
+        let is_few = reduced.count < COMPARISON_SAMPLES;
+        if is_few && (reduced.count < FEW_COMPARISON_SAMPLES || counted_us < COMPARISON_US) {
             return None;
         }
-        let measured = halved.sum / f64::from(halved.count);
+        let measured = reduced.sum / f64::from(reduced.count);
         let is_uniform = measured >= UNIFORM_SHARE * congestion.ratio;
-        if is_uniform || halved.is_forced {
-            // After a long time of congestion the limit is steady, and half of it is uncongested.
-            self.halving_after_us = (self.halving_after_us * 2).min(MAX_HALVING_AFTER_US);
+        if is_uniform || reduced.is_forced {
+            // After a long time of congestion the limit is steady, and a third of it is uncongested.
+            self.reduction_after_us = (self.reduction_after_us * 2).min(MAX_REDUCTION_AFTER_US);
             self.congestion = None;
             self.last_ratio = 1.0;
             return Some(measured);
         }
         *congestion =
-            Congestion { onset_us: now_us, limit: self.limit, ratio: measured, halved: None };
+            Congestion { onset_us: now_us, limit: self.limit, ratio: measured, reduced: None };
         None
     }
 }
--- a/crates/policy/src/admission/run_times.rs
+++ b/crates/policy/src/admission/run_times.rs
@@ -6,10 +6,15 @@
 /// Weight of a new sample in the mean run time; about 16 runs show a change.
 const MEAN_WEIGHT: f64 = 1.0 / 16.0;
 
-/// Weight of a new sample in the uncongested latency. It is small so that the spread of single
-/// run times does not move the limit.
+/// Largest weight of a new sample in the uncongested latency, so that the spread of single run
+/// times does not move the limit.
 const BASELINE_WEIGHT: f64 = 1.0 / 128.0;
 
+/// Time constant of the uncongested latency after its first samples, in µs. A faster one would
+/// take the latency of tolerated congestion for the uncongested one within seconds, and the limit
+/// would creep up.
+const BASELINE_US: f64 = 30_000_000.0;
+
 /// Time without samples after which an estimate halves, in µs. Without this decay, an estimate
 /// over every deadline would refuse all work and so never be corrected.
 const STALE_US: u64 = 500_000;
@@ -62,7 +67,9 @@
         let mean_weight = MEAN_WEIGHT.max(first_weight);
         bucket.mean_us += (run_us as f64 - bucket.mean_us) * mean_weight;
         if is_uncongested || bucket.baseline_us == 0.0 {
-            let weight = BASELINE_WEIGHT.max(first_weight);
+            let passed_us = now_us.saturating_sub(bucket.last_us) as f64;
+            let weight = (passed_us / BASELINE_US).min(BASELINE_WEIGHT);
+            let weight = if first_weight > BASELINE_WEIGHT { first_weight } else { weight };
             bucket.baseline_us += (first_byte_us.max(1) as f64 - bucket.baseline_us) * weight;
             bucket.baseline_run_us += (run_us as f64 - bucket.baseline_run_us) * weight;
         }
--- a/crates/policy/src/admission/settings.rs
+++ b/crates/policy/src/admission/settings.rs
@@ -22,9 +22,9 @@
     pub min_samples: u32,
     /// Latency, relative to the uncongested latency, from which the limit decreases.
     pub latency_tolerance: f64,
-    /// Time of uninterrupted congestion after which the limit is halved briefly, to learn whether
+    /// Time of uninterrupted congestion after which the limit is reduced briefly, to learn whether
     /// the server queues requests or has become slower at any concurrency, in µs.
-    pub halving_after_us: u64,
+    pub reduction_after_us: u64,
     /// Most requests that wait.
     pub max_queue: usize,
     /// Queueing delay that the cutoff aims at under overload, in µs. A short queue keeps every
@@ -48,7 +48,7 @@
             max_window_us: 200_000,
             min_samples: 24,
             latency_tolerance: 1.4,
-            halving_after_us: 500_000,
+            reduction_after_us: 500_000,
             max_queue: 1024,
             queue_target_us: 10_000,
             queue_horizon_us: 200_000,
--- a/crates/policy/src/admission/shed_cutoff.rs
+++ b/crates/policy/src/admission/shed_cutoff.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 
+use crate::admission::class_shares::ClassShares;
 use crate::admission::AdmissionSettings;
 use crate::admission::WorkClass;
 
@@ -67,6 +68,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct ShedCutoff {
     settings: AdmissionSettings,
+    shares: ClassShares,
     demand: BTreeMap<u8, RankDemand>,
     window_start_us: u64,
     /// Rank in the upper byte, hash in the lower 16 bits.
@@ -85,6 +87,7 @@
     pub(super) fn new(settings: &AdmissionSettings) -> Self {
         Self {
             settings: settings.clone(),
+            shares: ClassShares { long_share: settings.long_share },
             demand: BTreeMap::new(),
             window_start_us: 0,
             level: OPEN,
@@ -195,9 +198,12 @@
             return;
         }
         let top = self.demand.keys().next_back().map_or(0, |rank| (u32::from(*rank) + 1) << 16);
-        let reached = self.level.saturating_add(self.step).min(level);
+        // A window that was prolonged by idleness raises the cutoff as often as it should have.
+        let windows = (age_us / settings.window_us.max(1) as f64).clamp(1.0, 24.0) as u32;
+        let step = self.step.saturating_mul(1 << (windows - 1));
+        let reached = self.level.saturating_add(step).min(level);
         self.level = if reached >= top { level.max(reached) } else { reached };
-        self.step = self.step.saturating_mul(2).min(OPEN);
+        self.step = step.saturating_mul(2).min(OPEN);
     }
 
     fn average(&mut self, age_us: f64) {
@@ -222,14 +228,26 @@
     }
 
     /// Level below which the demand adds up to the capacity.
+    ///
+    /// Long work that no slots can be lent to does not shed short work of its own rank, which could
+    /// not make room for it, but it stops every less important rank.
     fn level_for(&self, capacity: f64) -> u32 {
         let mut left = capacity;
+        let mut short = 0.0;
         for (rank, demand) in &self.demand {
-            if demand.total() > left {
-                let hash = (left / demand.total() * HASHES) as u32;
+            short += demand.short;
+            let has_short = demand.short >= 1.0;
+            let long_limit = self.shares.long_limit(capacity as u32, short, true);
+            let long = if has_short { demand.long.min(f64::from(long_limit)) } else { demand.long };
+            let total = demand.short + long;
+            if total > left {
+                let hash = (left / total * HASHES) as u32;
                 return (u32::from(*rank) << 16) + hash.min(u32::from(u16::MAX));
             }
-            left -= demand.total();
+            if long < demand.long {
+                return (u32::from(*rank) + 1) << 16;
+            }
+            left -= total;
         }
         OPEN
     }
