Keep a share of a falling limit for short work

The uncongested latency rested on 128 samples.

Change: short work keeps its share of the limit beside long runs that go on; the uncongested latency averages its first 1024 samples.

Ruled out: lending fewer slots; it would leave them idle at all times.

--- a/crates/policy/src/admission/adaptive.rs
+++ b/crates/policy/src/admission/adaptive.rs
@@ -90,13 +90,27 @@
         self.running.len() as u32
     }
 
+    /// Number of runs up to which a request may start.
+    ///
+    /// Long work that runs on lent slots goes on when the limit falls. Short work then keeps its
+    /// own share of the limit, because the long runs may block it for their whole duration.
+    fn start_limit(&self) -> u32 {
+        let limit = self.limit.value();
+        let long_share = (f64::from(limit) * self.settings.long_share) as u32;
+        let with_short = self.long_running + limit - long_share;
+        limit.max(with_short.min(self.limit.slots()))
+    }
+
     /// Closes the windows that have ended.
     fn advance(&mut self, now_us: u64) {
         self.now_us = self.now_us.max(now_us);
         self.queue.mark_urgent(now_us);
         if now_us >= self.limit.window_end_us() {
             self.record_stalled(now_us);
-            if let Some(factor) = self.limit.close_window(self.in_flight(), now_us) {
+            // Short runs alone can follow the limit within a window.
+            let short_running = self.in_flight() - self.long_running;
+            let in_flight = if short_running > 0 { short_running } else { self.in_flight() };
+            if let Some(factor) = self.limit.close_window(in_flight, now_us) {
                 self.run_times.scale_baselines(factor);
                 self.cutoff.scale(factor);
             }
@@ -134,9 +148,8 @@
 
     /// Time until the queued work of a class up to and including a rank has started, in µs.
     fn queue_delay_us(&self, class: WorkClass, rank: u8) -> u64 {
-        let limit = self.limit.value();
         let slots = match class {
-            WorkClass::Short => limit.saturating_sub(self.long_running),
+            WorkClass::Short => self.start_limit().saturating_sub(self.long_running),
             WorkClass::Long => self.long_limit(rank, true),
         };
         self.queue.work_up_to_us(class, rank) / u64::from(slots.max(1))
@@ -144,7 +157,7 @@
 
     /// The waiting request that runs next, if a slot is free for it.
     fn next_to_run(&self) -> Option<&Waiting> {
-        if self.in_flight() >= self.limit.value() {
+        if self.in_flight() >= self.start_limit() {
             return None;
         }
         let urgent_rank = self.queue.urgent_rank();
--- a/crates/policy/src/admission/concurrency_limit.rs
+++ b/crates/policy/src/admission/concurrency_limit.rs
@@ -128,6 +128,11 @@
         limit.max(self.floor()) as u32
     }
 
+    /// Slots that the server announced, the upper bound of the limit.
+    pub(super) fn slots(&self) -> u32 {
+        self.slots as u32
+    }
+
     /// Whether samples tell the uncongested latency.
     pub(super) fn is_uncongested(&self) -> bool {
         self.congestion.is_none() && self.last_ratio <= UNCONGESTED_RATIO
--- a/crates/policy/src/admission/run_times.rs
+++ b/crates/policy/src/admission/run_times.rs
@@ -6,9 +6,16 @@
 /// Weight of a new sample in the mean run time; about 16 runs show a change.
 const MEAN_WEIGHT: f64 = 1.0 / 16.0;
 
-/// Largest weight of a new sample in the uncongested latency, so that the spread of single run
+/// First samples of the uncongested latency, which are averaged evenly. Their number makes the
+/// error of the average small against the tolerance of the limit.
+const FIRST_SAMPLES: u32 = 1024;
+
+/// Weight, in samples, that remains of an uncongested latency after it was multiplied.
+const SCALED_SAMPLES: u32 = 32;
+
+/// Largest weight of a later sample in the uncongested latency, so that the spread of single run
 /// times does not move the limit.
-const BASELINE_WEIGHT: f64 = 1.0 / 128.0;
+const BASELINE_WEIGHT: f64 = 1.0 / 256.0;
 
 /// Time constant of the uncongested latency after its first samples, in µs. A faster one would
 /// take the latency of tolerated congestion for the uncongested one within seconds, and the limit
@@ -22,6 +29,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Bucket {
     samples: u32,
+    baseline_samples: u32,
     mean_us: f64,
     baseline_us: f64,
     baseline_run_us: f64,
@@ -63,13 +71,16 @@
     ) {
         let bucket = self.bucket_mut(class, expected_us);
         bucket.samples = bucket.samples.saturating_add(1);
-        let first_weight = 1.0 / f64::from(bucket.samples);
-        let mean_weight = MEAN_WEIGHT.max(first_weight);
+        let mean_weight = MEAN_WEIGHT.max(1.0 / f64::from(bucket.samples));
         bucket.mean_us += (run_us as f64 - bucket.mean_us) * mean_weight;
         if is_uncongested || bucket.baseline_us == 0.0 {
+            bucket.baseline_samples = bucket.baseline_samples.saturating_add(1);
             let passed_us = now_us.saturating_sub(bucket.last_us) as f64;
-            let weight = (passed_us / BASELINE_US).min(BASELINE_WEIGHT);
-            let weight = if first_weight > BASELINE_WEIGHT { first_weight } else { weight };
+            let weight = if bucket.baseline_samples <= FIRST_SAMPLES {
+                1.0 / f64::from(bucket.baseline_samples)
+            } else {
+                (passed_us / BASELINE_US).min(BASELINE_WEIGHT)
+            };
             bucket.baseline_us += (first_byte_us.max(1) as f64 - bucket.baseline_us) * weight;
             bucket.baseline_run_us += (run_us as f64 - bucket.baseline_run_us) * weight;
         }
@@ -96,6 +107,7 @@
         for bucket in self.buckets.iter_mut().flatten() {
             bucket.baseline_us *= factor;
             bucket.baseline_run_us *= factor;
+            bucket.baseline_samples = bucket.baseline_samples.min(SCALED_SAMPLES);
         }
     }
 
