Measure admission with advice applied at the entry

Cause: advice thins the demand that the gate counts, and nothing measured that the cutoff stays steady then.

Change: one more scenario at ten times the capacity, in which the entry applies the advice of every answer and refusal.

Ruled out: nothing.

--- a/crates/policy/examples/measure_admission.rs
+++ b/crates/policy/examples/measure_admission.rs
@@ -14,6 +14,7 @@
 
 use simulation::run;
 use simulation::Operation;
+use simulation::Outcome;
 use simulation::Record;
 use simulation::Scenario;
 
@@ -64,6 +65,7 @@
 struct Figures {
     records: Vec<Record>,
     limits: Vec<(u64, u32)>,
+    refused: [u64; 2],
 }
 
 impl Figures {
@@ -122,8 +124,8 @@
     let mut adaptive = AdaptiveAdmission::new(&settings);
     let gates: [&mut dyn AdmissionPolicy; 2] = [&mut naive, &mut adaptive];
     gates.map(|gate| {
-        let (records, limits) = run(scenario, gate);
-        Figures { records, limits }
+        let Outcome { records, limits, refused } = run(scenario, gate);
+        Figures { records, limits, refused }
     })
 }
 
@@ -139,7 +141,7 @@
     let operations = service.operations();
     let end_us = WARM_UP_US + 10 * SECOND_US;
     let mut at_capacity = [0.0; 2];
-    for multiple in [1.0, 2.0, 10.0] {
+    for (multiple, has_advice) in [(1.0, false), (2.0, false), (10.0, false), (10.0, true)] {
         let rate = |operation: usize, now_us: u64| {
             let total = if now_us < WARM_UP_US { 0.7 } else { multiple };
             let share = match operation {
@@ -154,12 +156,14 @@
             rate: &rate,
             capacity: &|_| 1.0,
             slowness: &|_| 1.0,
+            has_advice,
             end_us,
             seed,
         });
         let goodput = figures.each_ref().map(|f| f.goodput(WARM_UP_US, end_us));
         let important = figures.each_ref().map(|f| f.in_time(Some(0), WARM_UP_US, end_us));
-        let label = format!("{multiple}x: goodput");
+        let advised = if has_advice { ", advice at entry" } else { "" };
+        let label = format!("{multiple}x{advised}: goodput");
         if multiple == 1.0 {
             at_capacity = goodput;
             print(service, &label, "1/s", goodput, "");
@@ -167,11 +171,30 @@
             let best = at_capacity[0].max(at_capacity[1]);
             let target = if multiple == 2.0 { ">= 95" } else { ">= 90" };
             let share = goodput.map(|g| 100.0 * g / best);
-            print(service, &format!("{label} of best goodput at 1x"), "%", share, target);
+            print(service, &format!("{label} of best at 1x"), "%", share, target);
         }
-        print(service, &format!("{multiple}x: most important in time"), "%", important, ">= 99.9");
+        print(
+            service,
+            &format!("{multiple}x{advised}: most important in time"),
+            "%",
+            important,
+            ">= 99.9",
+        );
         let p99 = figures.each_ref().map(|f| f.latency_ms(0..1, 0.99, end_us));
-        print(service, &format!("{multiple}x: most important p99"), "ms", p99, "");
+        print(service, &format!("{multiple}x{advised}: most important p99"), "ms", p99, "");
+        if has_advice {
+            let share = |refused: [u64; 2]| {
+                100.0 * refused[0] as f64 / (refused[0] + refused[1]).max(1) as f64
+            };
+            let at_entry = figures.each_ref().map(|f| share(f.refused));
+            print(
+                service,
+                &format!("{multiple}x{advised}: refusals at the entry"),
+                "%",
+                at_entry,
+                "",
+            );
+        }
     }
 }
 
@@ -192,6 +215,7 @@
         rate: &rate,
         capacity: &|_| 1.0,
         slowness: &|_| 1.0,
+        has_advice: false,
         end_us,
         seed,
     });
@@ -220,6 +244,7 @@
         rate: &rate,
         capacity: &capacity,
         slowness: &slowness,
+        has_advice: false,
         end_us,
         seed,
     });
@@ -265,6 +290,7 @@
             rate: &rate,
             capacity: &|_| 1.0,
             slowness: &|_| 1.0,
+            has_advice: false,
             end_us,
             seed,
         });
--- a/crates/policy/examples/measure_admission/simulation.rs
+++ b/crates/policy/examples/measure_admission/simulation.rs
@@ -9,7 +9,9 @@
 use rand_pcg::Pcg64;
 use tarragon_model::identity::InstanceId;
 use tarragon_model::identity::RequestId;
+use tarragon_policy::admission::shed_hash;
 use tarragon_policy::admission::AdmissionPolicy;
+use tarragon_policy::admission::AdvisoryFilter;
 use tarragon_policy::admission::Offer;
 use tarragon_policy::admission::Release;
 use tarragon_policy::admission::RunEnd;
@@ -42,10 +44,21 @@
     pub capacity: &'a dyn Fn(u64) -> f64,
     /// Factor by which every run is slower at a time, at any concurrency.
     pub slowness: &'a dyn Fn(u64) -> f64,
+    /// Whether the entry applies the advice that answers and refusals carry.
+    pub has_advice: bool,
     pub end_us: u64,
     pub seed: u64,
 }
 
+/// What a run of a scenario leaves.
+pub struct Outcome {
+    pub records: Vec<Record>,
+    /// Limit at the end of every 10 ms.
+    pub limits: Vec<(u64, u32)>,
+    /// Attempts refused at the entry and at the gate.
+    pub refused: [u64; 2],
+}
+
 /// Outcome of one whole request.
 #[derive(Clone, Copy)]
 pub struct Record {
@@ -86,13 +99,12 @@
     counter: u64,
     poll_us: Option<u64>,
     limits: Vec<(u64, u32)>,
+    filter: AdvisoryFilter,
+    refused: [u64; 2],
 }
 
-/// Records of all requests, and the limit at the end of every 10 ms.
-pub fn run(
-    scenario: &Scenario<'_>,
-    gate: &mut dyn AdmissionPolicy,
-) -> (Vec<Record>, Vec<(u64, u32)>) {
+/// Runs a scenario to its end.
+pub fn run(scenario: &Scenario<'_>, gate: &mut dyn AdmissionPolicy) -> Outcome {
     let mut simulation = Simulation {
         scenario,
         gate,
@@ -106,6 +118,8 @@
         counter: 0,
         poll_us: None,
         limits: Vec::new(),
+        filter: AdvisoryFilter::default(),
+        refused: [0; 2],
     };
     simulation.gate.set_slots(scenario.slots, 0);
     for operation in 0..scenario.operations.len() {
@@ -118,7 +132,7 @@
         arrived_us: request.arrived_us,
         latency_us: *latency_us,
     });
-    (records.collect(), simulation.limits)
+    Outcome { records: records.collect(), limits: simulation.limits, refused: simulation.refused }
 }
 
 impl Simulation<'_> {
@@ -201,13 +215,23 @@
             expected_us: operation.mean_us,
             deadline_left_us,
         };
+        let hash = shed_hash(offer.request_id);
+        if self.scenario.has_advice && !self.filter.is_admitted(offer.rank, hash, now_us) {
+            self.refused[0] += 1;
+            self.retry(index, now_us);
+            return;
+        }
         match self.gate.offer(&offer, now_us) {
             Verdict::Run(ticket) => {
                 self.own(ticket, index, attempt, now_us + deadline_left_us);
                 self.start(ticket, now_us);
             }
             Verdict::Wait(ticket) => self.own(ticket, index, attempt, now_us + deadline_left_us),
-            Verdict::Refuse(_) => self.retry(index, now_us),
+            Verdict::Refuse(_) => {
+                self.refused[1] += 1;
+                self.filter.update(self.gate.advice(now_us), now_us);
+                self.retry(index, now_us);
+            }
         }
     }
 
@@ -247,6 +271,7 @@
             self.latencies[index] = Some(now_us - request.arrived_us);
         }
         self.gate.finish(ticket, &RunResult { run_us, first_byte_us: run_us, end }, now_us);
+        self.filter.update(self.gate.advice(now_us), now_us);
         self.poll(now_us);
     }
 
