Follow the import style in the measurement program

Cause: the import check of tarragond found the measurement program's imports in the wrong group.

Change: imports from the own module name the crate; a queue horizon of zero no longer divides by zero.

Ruled out: nothing.

Measured: import check failed before, passes now; 19 tests pass.

--- a/crates/policy/examples/measure_admission.rs
+++ b/crates/policy/examples/measure_admission.rs
@@ -12,11 +12,11 @@
 use tarragon_policy::admission::NaiveAdmission;
 use tarragon_policy::admission::WorkClass;
 
-use simulation::run;
-use simulation::Operation;
-use simulation::Outcome;
-use simulation::Record;
-use simulation::Scenario;
+use crate::simulation::run;
+use crate::simulation::Operation;
+use crate::simulation::Outcome;
+use crate::simulation::Record;
+use crate::simulation::Scenario;
 
 const SECOND_US: u64 = 1_000_000;
 
--- a/crates/policy/src/admission/shed_cutoff.rs
+++ b/crates/policy/src/admission/shed_cutoff.rs
@@ -191,7 +191,8 @@
         let capacity = self.capacity(load, age_us);
         let settings = &self.settings;
         let excess_us = settings.queue_target_us as f64 - load.queue_delay_us as f64;
-        let correction = (1.0 + excess_us / settings.queue_horizon_us as f64).clamp(0.2, 1.2);
+        let correction =
+            (1.0 + excess_us / settings.queue_horizon_us.max(1) as f64).clamp(0.2, 1.2);
         let total: f64 = self.demand.values().map(RankDemand::total).sum();
         self.overload = total / capacity.max(1.0);
         let level = self.level_for(capacity * correction);
