Make the limit robust against skewed run times

Unfinished runs were counted as slow samples, and most runs in progress are long ones.

Change: unfinished runs count only if hardly any run ends; latencies are averaged by their square root, and a decrease must exceed one standard error.

Ruled out: the logarithm in place of the root; it spreads exponential run times more than their mean does.

--- a/crates/policy/src/admission/adaptive.rs
+++ b/crates/policy/src/admission/adaptive.rs
@@ -27,8 +27,7 @@
 const SHORT_ABSENT_US: u64 = 1_000_000;
 
 /// Age, relative to the uncongested latency, from which an unfinished run counts as a slow sample,
-/// so that a server which answers nothing is noticed too. Few runs of a healthy server last so
-/// long.
+/// so that a server which answers nothing is noticed too.
 const STALLED_RATIO: f64 = 5.0;
 
 /// Time without windows after which the last cutoff says nothing, in µs.
@@ -134,7 +133,7 @@
             let age_us = now_us.saturating_sub(running.started_us) as f64;
             let baseline_us = self.run_times.baseline_us(running.class, running.expected_us);
             if let Some(baseline_us) = baseline_us.filter(|b| age_us > b * STALLED_RATIO) {
-                self.limit.record(age_us, age_us / baseline_us, now_us);
+                self.limit.record_unfinished(age_us, age_us / baseline_us);
             }
         }
     }
@@ -211,12 +210,14 @@
             self.last_short_us = now_us;
         }
         if class == WorkClass::Short || has_waited_for_short {
-            let latency_us = if is_whole { first_byte_us } else { result.run_us };
-            let ratio = baseline_us.map(|baseline_us| latency_us as f64 / baseline_us);
-            // A run that was cut off tells only that it would have lasted longer.
-            let ratio = ratio.filter(|ratio| is_whole || *ratio > STALLED_RATIO);
-            if let Some(ratio) = ratio {
-                self.limit.record(latency_us as f64, ratio, now_us);
+            let latency_us = if is_whole { first_byte_us } else { result.run_us } as f64;
+            match baseline_us.map(|baseline_us| latency_us / baseline_us) {
+                Some(ratio) if is_whole => self.limit.record(latency_us, ratio, now_us),
+                // A run that was cut off tells only that it would have lasted longer.
+                Some(ratio) if ratio > STALLED_RATIO => {
+                    self.limit.record_unfinished(latency_us, ratio);
+                }
+                _ => {}
             }
         }
         if is_whole {
--- a/crates/policy/src/admission/concurrency_limit.rs
+++ b/crates/policy/src/admission/concurrency_limit.rs
@@ -43,9 +43,6 @@
 /// lucky.
 const OUTDATED_RATIO: f64 = 0.7;
 
-/// Relative latency that a window of lucky samples hardly reaches.
-const LUCKY_RATIO: f64 = 0.5;
-
 /// Relative latency up to which samples count as uncongested.
 const UNCONGESTED_RATIO: f64 = 1.15;
 
@@ -58,9 +55,8 @@
 struct Congestion {
     onset_us: u64,
     limit: f64,
-    /// Sum and number of the relative latencies before the comparison counts.
-    sum: f64,
-    count: f64,
+    /// Samples before those of the comparison count.
+    before: Samples,
     reduced: Option<Reduced>,
 }
 
@@ -71,17 +67,55 @@
     /// Time from which samples count; none before the concurrency has fallen.
     from_us: Option<u64>,
     is_forced: bool,
+    samples: Samples,
+}
+
+/// Square roots of relative latencies, and the latencies themselves.
+#[derive(Debug, Clone, Copy, Default)]
+struct Samples {
     count: u32,
     sum: f64,
+    square_sum: f64,
+    latency_sum_us: f64,
+}
+
+impl Samples {
+    fn add(&mut self, ratio: f64, latency_us: f64) {
+        let ratio = ratio.min(MAX_RATIO);
+        self.count += 1;
+        self.sum += ratio.sqrt();
+        self.square_sum += ratio;
+        self.latency_sum_us += latency_us;
+    }
+
+    fn append(&mut self, other: &Self) {
+        self.count += other.count;
+        self.sum += other.sum;
+        self.square_sum += other.square_sum;
+        self.latency_sum_us += other.latency_sum_us;
+    }
+
+    /// Relative latency, off by a number of standard errors.
+    fn ratio(&self, errors: f64) -> f64 {
+        if self.count == 0 {
+            return 1.0;
+        }
+        let count = f64::from(self.count);
+        let mean = self.sum / count;
+        let variance = (self.square_sum / count - mean * mean).max(0.0);
+        let bound = (mean + errors * (variance / count).sqrt()).max(0.0);
+        bound * bound
+    }
 }
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Window {
     start_us: u64,
     most_in_flight: u32,
-    count: u32,
-    sum: f64,
-    latency_sum_us: f64,
+    samples: Samples,
+    /// Runs that were cut off or have not ended for long. They count only if hardly any run ends,
+    /// since long runs are always over-represented among them.
+    unfinished: Samples,
     rejected: u32,
 }
 
@@ -161,18 +195,19 @@
 
     /// Records the latency of a run, in µs, and relative to the baseline.
     pub(super) fn record(&mut self, latency_us: f64, ratio: f64, now_us: u64) {
-        let ratio = ratio.min(MAX_RATIO);
-        self.window.count += 1;
-        self.window.sum += ratio;
-        self.window.latency_sum_us += latency_us;
+        self.window.samples.add(ratio, latency_us);
         if let Some(reduced) = self.congestion.as_mut().and_then(|c| c.reduced.as_mut()) {
             if reduced.from_us.is_some_and(|from_us| now_us >= from_us) {
-                reduced.count += 1;
-                reduced.sum += ratio;
+                reduced.samples.add(ratio, latency_us);
             }
         }
     }
 
+    /// Records a run that was cut off, or that has not ended, after `latency_us`.
+    pub(super) fn record_unfinished(&mut self, latency_us: f64, ratio: f64) {
+        self.window.unfinished.add(ratio, latency_us);
+    }
+
     /// Latency relative to the uncongested latency in the last window.
     pub(super) fn last_ratio(&self) -> f64 {
         self.last_ratio
@@ -190,7 +225,8 @@
 
     /// Time at which the window ends, unless further samples fill it earlier, in µs.
     pub(super) fn window_end_us(&self) -> u64 {
-        let is_filled = self.window.count + self.window.rejected >= self.settings.min_samples;
+        let is_filled =
+            self.window.samples.count + self.window.rejected >= self.settings.min_samples;
         if !is_filled {
             return self.window.start_us + self.settings.max_window_us;
         }
@@ -202,10 +238,14 @@
     /// Sets the limit from the samples of the window. `in_flight` is the number of present runs.
     /// Returns a factor by which the baselines must be multiplied, if they are outdated.
     pub(super) fn close_window(&mut self, in_flight: u32, now_us: u64) -> Option<f64> {
-        let window = self.window;
+        let mut window = self.window;
+        if window.samples.count < self.settings.min_samples / 2 {
+            window.samples.append(&window.unfinished);
+        }
+        let samples = window.samples;
         self.window = Window { start_us: now_us, most_in_flight: in_flight, ..Window::default() };
         let age_us = now_us.saturating_sub(window.start_us);
-        let is_measured = window.count + window.rejected >= self.settings.min_samples / 2;
+        let is_measured = samples.count + window.rejected >= self.settings.min_samples / 2;
         if !is_measured {
             self.last_ratio = 1.0;
             // An idle server is not congested.
@@ -214,26 +254,26 @@
             // Few samples cannot confirm congestion; a reduced limit may be the very cause.
             return self.compare(in_flight, now_us);
         }
-        let ratio = if window.count > 0 { window.sum / f64::from(window.count) } else { 1.0 };
-        self.last_ratio = ratio;
-        self.last_latency_us = window.latency_sum_us / f64::from(window.count.max(1));
+        self.last_ratio = samples.ratio(0.0);
+        self.last_latency_us = samples.latency_sum_us / f64::from(samples.count.max(1));
+        // A decrease must be beyond the chance of few samples or of a skewed distribution.
+        let least_ratio = samples.ratio(-1.0);
         if window.rejected > 0 {
             let rejected = f64::from(window.rejected);
-            let share = rejected / (rejected + f64::from(window.count));
+            let share = rejected / (rejected + f64::from(samples.count));
             // In flight is what the server just had accepted; the limit may be far above it.
             let base = self.limit.min(f64::from(in_flight.max(1)) * 2.0);
             self.limit = (base * (1.0 - share / 2.0)).max(self.floor());
-        } else if ratio <= self.settings.latency_tolerance {
+        } else if least_ratio <= self.settings.latency_tolerance {
             self.congestion = self.congestion.filter(|c| c.reduced.is_some_and(|h| h.is_forced));
             self.grow(&window, age_us);
         } else {
-            self.decrease(&window, ratio, now_us);
+            self.decrease(&samples, least_ratio, now_us);
         }
-        if ratio < OUTDATED_RATIO {
-            // The square root damps a window of few and lucky samples, unless luck cannot explain it.
-            let factor = if ratio < LUCKY_RATIO { ratio } else { ratio.sqrt() };
+        let most_ratio = samples.ratio(1.0);
+        if most_ratio < OUTDATED_RATIO {
             self.last_ratio = 1.0;
-            return Some(factor);
+            return Some(most_ratio);
         }
         self.compare(in_flight, now_us)
     }
@@ -259,13 +299,12 @@
         self.limit = self.limit.min(self.slots);
     }
 
-    fn decrease(&mut self, window: &Window, ratio: f64, now_us: u64) {
+    fn decrease(&mut self, samples: &Samples, ratio: f64, now_us: u64) {
         let (limit, floor) = (self.limit, self.floor());
         let congestion = self.congestion.get_or_insert(Congestion {
             onset_us: now_us,
             limit,
-            sum: 0.0,
-            count: 0.0,
+            before: Samples::default(),
             reduced: None,
         });
         // Runs that end before the comparison counts began at the full concurrency. Their mean over
@@ -273,8 +312,7 @@
         let is_counting =
             |reduced: Reduced| reduced.from_us.is_some_and(|from_us| now_us >= from_us);
         if !congestion.reduced.is_some_and(is_counting) {
-            congestion.sum += window.sum;
-            congestion.count += f64::from(window.count);
+            congestion.before.append(samples);
         }
         if congestion.reduced.is_some() {
             return;
@@ -293,15 +331,13 @@
             let is_reduced = self.limit <= (congestion.limit * REDUCED_SHARE).max(floor);
             if is_long && !is_reduced {
                 congestion.limit = self.limit;
-                (congestion.sum, congestion.count) = (self.last_ratio, 1.0);
             }
             if is_long || is_reduced {
                 congestion.reduced = Some(Reduced {
                     since_us: now_us,
                     from_us: None,
                     is_forced: !is_reduced,
-                    count: 0,
-                    sum: 0.0,
+                    samples: Samples::default(),
                 });
             }
             return None;
@@ -316,12 +352,13 @@
             self.congestion = None;
             return None;
         }
-        let is_few = reduced.count < COMPARISON_SAMPLES;
-        if is_few && (reduced.count < FEW_COMPARISON_SAMPLES || counted_us < COMPARISON_US) {
+        let is_few = reduced.samples.count < COMPARISON_SAMPLES;
+        if is_few && (reduced.samples.count < FEW_COMPARISON_SAMPLES || counted_us < COMPARISON_US)
+        {
             return None;
         }
-        let measured = reduced.sum / f64::from(reduced.count);
-        let is_uniform = measured >= UNIFORM_SHARE * congestion.sum / congestion.count.max(1.0);
+        let measured = reduced.samples.ratio(0.0);
+        let is_uniform = measured >= UNIFORM_SHARE * congestion.before.ratio(0.0);
         if is_uniform || reduced.is_forced {
             // After a long time of congestion the limit is steady, and a third of it is uncongested.
             self.reduction_after_us = (self.reduction_after_us * 2).min(MAX_REDUCTION_AFTER_US);
@@ -332,8 +369,7 @@
         *congestion = Congestion {
             onset_us: now_us,
             limit: self.limit,
-            sum: reduced.sum,
-            count: f64::from(reduced.count),
+            before: reduced.samples,
             reduced: None,
         };
         None
--- a/crates/policy/src/admission/run_times.rs
+++ b/crates/policy/src/admission/run_times.rs
@@ -31,7 +31,9 @@
     samples: u32,
     baseline_samples: u32,
     mean_us: f64,
-    baseline_us: f64,
+    /// Mean square root of the uncongested latency in µs. The root keeps the few very long runs of
+    /// a skewed distribution from hiding what happens to all others.
+    baseline_root: f64,
     baseline_run_us: f64,
     last_us: u64,
 }
@@ -73,7 +75,7 @@
         bucket.samples = bucket.samples.saturating_add(1);
         let mean_weight = MEAN_WEIGHT.max(1.0 / f64::from(bucket.samples));
         bucket.mean_us += (run_us as f64 - bucket.mean_us) * mean_weight;
-        if is_uncongested || bucket.baseline_us == 0.0 {
+        if is_uncongested || bucket.baseline_root == 0.0 {
             bucket.baseline_samples = bucket.baseline_samples.saturating_add(1);
             let passed_us = now_us.saturating_sub(bucket.last_us) as f64;
             let weight = if bucket.baseline_samples <= FIRST_SAMPLES {
@@ -81,7 +83,8 @@
             } else {
                 (passed_us / BASELINE_US).min(BASELINE_WEIGHT)
             };
-            bucket.baseline_us += (first_byte_us.max(1) as f64 - bucket.baseline_us) * weight;
+            let root = (first_byte_us.max(1) as f64).sqrt();
+            bucket.baseline_root += (root - bucket.baseline_root) * weight;
             bucket.baseline_run_us += (run_us as f64 - bucket.baseline_run_us) * weight;
         }
         bucket.last_us = now_us;
@@ -96,16 +99,16 @@
         }
     }
 
-    /// Uncongested latency, in µs, if anything was measured.
+    /// Square of the mean root of the uncongested latency, in µs, if anything was measured.
     pub(super) fn baseline_us(&self, class: WorkClass, expected_us: u64) -> Option<f64> {
-        let baseline_us = self.bucket(class, expected_us).baseline_us;
-        (baseline_us > 0.0).then_some(baseline_us)
+        let baseline_root = self.bucket(class, expected_us).baseline_root;
+        (baseline_root > 0.0).then_some(baseline_root * baseline_root)
     }
 
     /// Multiplies every uncongested latency.
     pub(super) fn scale_baselines(&mut self, factor: f64) {
         for bucket in self.buckets.iter_mut().flatten() {
-            bucket.baseline_us *= factor;
+            bucket.baseline_root *= factor.sqrt();
             bucket.baseline_run_us *= factor;
             bucket.baseline_samples = bucket.baseline_samples.min(SCALED_SAMPLES);
         }
