--- a/crates/policy/src/admission/adaptive.rs
+++ b/crates/policy/src/admission/adaptive.rs
@@ -27,8 +27,7 @@
 const SHORT_ABSENT_US: u64 = 1_000_000;
 
 /// Age, relative to the uncongested latency, from which an unfinished run counts as a slow sample,
-/// so that a server which answers nothing is noticed too. Few runs of a healthy server last so
-/// long.
+/// so that a server which answers nothing is noticed too.
 const STALLED_RATIO: f64 = 5.0;
 
 /// Time without windows after which the last cutoff says nothing, in µs.
@@ -90,13 +89,27 @@
         self.running.len() as u32
     }
 
+    /// Number of runs up to which a request may start.
+    ///
+    /// Long work that runs on lent slots goes on when the limit falls. Short work then keeps its
+    /// own share of the limit, because the long runs may block it for their whole duration.
+    fn start_limit(&self) -> u32 {
+        let limit = self.limit.value();
+        let long_share = (f64::from(limit) * self.settings.long_share) as u32;
+        let with_short = self.long_running + limit - long_share;
+        limit.max(with_short.min(self.limit.slots()))
+    }
+
     /// Closes the windows that have ended.
     fn advance(&mut self, now_us: u64) {
         self.now_us = self.now_us.max(now_us);
         self.queue.mark_urgent(now_us);
         if now_us >= self.limit.window_end_us() {
             self.record_stalled(now_us);
-            if let Some(factor) = self.limit.close_window(self.in_flight(), now_us) {
+            // Short runs alone can follow the limit within a window.
+            let short_running = self.in_flight() - self.long_running;
+            let in_flight = if short_running > 0 { short_running } else { self.in_flight() };
+            if let Some(factor) = self.limit.close_window(in_flight, now_us) {
                 self.run_times.scale_baselines(factor);
                 self.cutoff.scale(factor);
             }
@@ -120,7 +133,7 @@
             let age_us = now_us.saturating_sub(running.started_us) as f64;
             let baseline_us = self.run_times.baseline_us(running.class, running.expected_us);
             if let Some(baseline_us) = baseline_us.filter(|b| age_us > b * STALLED_RATIO) {
-                self.limit.record(age_us, age_us / baseline_us, now_us);
+                self.limit.record_unfinished(age_us, age_us / baseline_us);
             }
         }
     }
@@ -134,9 +147,8 @@
 
     /// Time until the queued work of a class up to and including a rank has started, in µs.
     fn queue_delay_us(&self, class: WorkClass, rank: u8) -> u64 {
-        let limit = self.limit.value();
         let slots = match class {
-            WorkClass::Short => limit.saturating_sub(self.long_running),
+            WorkClass::Short => self.start_limit().saturating_sub(self.long_running),
             WorkClass::Long => self.long_limit(rank, true),
         };
         self.queue.work_up_to_us(class, rank) / u64::from(slots.max(1))
@@ -144,7 +156,7 @@
 
     /// The waiting request that runs next, if a slot is free for it.
     fn next_to_run(&self) -> Option<&Waiting> {
-        if self.in_flight() >= self.limit.value() {
+        if self.in_flight() >= self.start_limit() {
             return None;
         }
         let urgent_rank = self.queue.urgent_rank();
@@ -169,12 +181,15 @@
 
     /// Makes room in a full queue. Returns false if nothing is less worth keeping.
     fn make_room(&mut self, rank: u8, hash: u16) -> bool {
-        if self.queue.len() + self.evicted.len() < self.settings.max_queue {
-            return true;
-        }
+        let is_full = self.queue.len() + self.evicted.len() >= self.settings.max_queue;
+        !is_full || self.evict_below(rank, hash)
+    }
+
+    /// Evicts the waiting request that is least worth keeping, if it is worth less than this.
+    fn evict_below(&mut self, rank: u8, hash: u16) -> bool {
         let worst = self.queue.least_worth().filter(|w| (w.rank, w.hash) > (rank, hash));
         let Some(ticket) = worst.map(|worst| worst.ticket) else { return false };
-        // The evicted stay counted until they are polled, so at most twice the bound is kept.
+        // The evicted are kept until they are polled; this bounds them.
         if self.evicted.len() >= self.settings.max_queue {
             return false;
         }
@@ -195,12 +210,14 @@
             self.last_short_us = now_us;
         }
         if class == WorkClass::Short || has_waited_for_short {
-            let latency_us = if is_whole { first_byte_us } else { result.run_us };
-            let ratio = baseline_us.map(|baseline_us| latency_us as f64 / baseline_us);
-            // A run that was cut off tells only that it would have lasted longer.
-            let ratio = ratio.filter(|ratio| is_whole || *ratio > STALLED_RATIO);
-            if let Some(ratio) = ratio {
-                self.limit.record(latency_us as f64, ratio, now_us);
+            let latency_us = if is_whole { first_byte_us } else { result.run_us } as f64;
+            match baseline_us.map(|baseline_us| latency_us / baseline_us) {
+                Some(ratio) if is_whole => self.limit.record(latency_us, ratio, now_us),
+                // A run that was cut off tells only that it would have lasted longer.
+                Some(ratio) if ratio > STALLED_RATIO => {
+                    self.limit.record_unfinished(latency_us, ratio);
+                }
+                _ => {}
             }
         }
         if is_whole {
@@ -235,7 +252,8 @@
         if deadline_left_us == 0 || run_us > deadline_left_us {
             return Verdict::Refuse(self.refusal(Reason::Late));
         }
-        if !is_admitted {
+        // Work that was admitted under an earlier, higher cutoff gives way first.
+        if !is_admitted && !self.evict_below(rank, hash) {
             return Verdict::Refuse(self.refusal(Reason::Shed));
         }
         self.last_ticket += 1;
--- a/crates/policy/src/admission/run_times.rs
+++ b/crates/policy/src/admission/run_times.rs
@@ -6,9 +6,21 @@
 /// Weight of a new sample in the mean run time; about 16 runs show a change.
 const MEAN_WEIGHT: f64 = 1.0 / 16.0;
 
-/// Weight of a new sample in the uncongested latency. It is small so that the spread of single
-/// run times does not move the limit.
-const BASELINE_WEIGHT: f64 = 1.0 / 128.0;
+/// First samples of the uncongested latency, which are averaged evenly. Their number makes the
+/// error of the average small against the tolerance of the limit.
+const FIRST_SAMPLES: u32 = 1024;
+
+/// Weight, in samples, that remains of an uncongested latency after it was multiplied.
+const SCALED_SAMPLES: u32 = 32;
+
+/// Largest weight of a later sample in the uncongested latency, so that the spread of single run
+/// times does not move the limit.
+const BASELINE_WEIGHT: f64 = 1.0 / 256.0;
+
+/// Time constant of the uncongested latency after its first samples, in µs. A faster one would
+/// take the latency of tolerated congestion for the uncongested one within seconds, and the limit
+/// would creep up.
+const BASELINE_US: f64 = 30_000_000.0;
 
 /// Time without samples after which an estimate halves, in µs. Without this decay, an estimate
 /// over every deadline would refuse all work and so never be corrected.
@@ -17,8 +29,11 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Bucket {
     samples: u32,
+    baseline_samples: u32,
     mean_us: f64,
-    baseline_us: f64,
+    /// Mean square root of the uncongested latency in µs. The root keeps the few very long runs of
+    /// a skewed distribution from hiding what happens to all others.
+    baseline_root: f64,
     baseline_run_us: f64,
     last_us: u64,
 }
@@ -58,12 +73,18 @@
     ) {
         let bucket = self.bucket_mut(class, expected_us);
         bucket.samples = bucket.samples.saturating_add(1);
-        let first_weight = 1.0 / f64::from(bucket.samples);
-        let mean_weight = MEAN_WEIGHT.max(first_weight);
+        let mean_weight = MEAN_WEIGHT.max(1.0 / f64::from(bucket.samples));
         bucket.mean_us += (run_us as f64 - bucket.mean_us) * mean_weight;
-        if is_uncongested || bucket.baseline_us == 0.0 {
-            let weight = BASELINE_WEIGHT.max(first_weight);
-            bucket.baseline_us += (first_byte_us.max(1) as f64 - bucket.baseline_us) * weight;
+        if is_uncongested || bucket.baseline_root == 0.0 {
+            bucket.baseline_samples = bucket.baseline_samples.saturating_add(1);
+            let passed_us = now_us.saturating_sub(bucket.last_us) as f64;
+            let weight = if bucket.baseline_samples <= FIRST_SAMPLES {
+                1.0 / f64::from(bucket.baseline_samples)
+            } else {
+                (passed_us / BASELINE_US).min(BASELINE_WEIGHT)
+            };
+            let root = (first_byte_us.max(1) as f64).sqrt();
+            bucket.baseline_root += (root - bucket.baseline_root) * weight;
             bucket.baseline_run_us += (run_us as f64 - bucket.baseline_run_us) * weight;
         }
         bucket.last_us = now_us;
@@ -78,17 +99,18 @@
         }
     }
 
-    /// Uncongested latency, in µs, if anything was measured.
+    /// Square of the mean root of the uncongested latency, in µs, if anything was measured.
     pub(super) fn baseline_us(&self, class: WorkClass, expected_us: u64) -> Option<f64> {
-        let baseline_us = self.bucket(class, expected_us).baseline_us;
-        (baseline_us > 0.0).then_some(baseline_us)
+        let baseline_root = self.bucket(class, expected_us).baseline_root;
+        (baseline_root > 0.0).then_some(baseline_root * baseline_root)
     }
 
     /// Multiplies every uncongested latency.
     pub(super) fn scale_baselines(&mut self, factor: f64) {
         for bucket in self.buckets.iter_mut().flatten() {
-            bucket.baseline_us *= factor;
+            bucket.baseline_root *= factor.sqrt();
             bucket.baseline_run_us *= factor;
+            bucket.baseline_samples = bucket.baseline_samples.min(SCALED_SAMPLES);
         }
     }
 
