Test the replica, recovery and the catalogue behind the log

Cause: the replica and its store had driver tests only. Change: simulated hosts, disks and network with invariants checked after every step; directed scenarios for rules that random schedules reach too rarely; test-only switches that show that each rule matters; damage at every byte of every file; the catalogue against a sequential one.

--- /dev/null
+++ b/crates/consensus/tests/replica/directed.rs
@@ -0,0 +1,317 @@
+//! Scenarios that random schedules reach too rarely, each with the mechanism on and off.
+
+use tarragon_consensus::protocol::ReplicaId;
+use tarragon_consensus::raft::Answer;
+use tarragon_consensus::raft::MemberChange;
+use tarragon_consensus::raft::Refusal;
+use tarragon_consensus::raft::Settings;
+use tarragon_consensus::raft::Status;
+use tarragon_consensus::raft::Switches;
+
+use crate::schedule::ledger;
+use crate::schedule::PROGRESS_TIMEOUTS;
+use crate::sim::settings;
+use crate::sim::Sim;
+use crate::sim::ELECTION_MS;
+
+const LIMIT_MS: u64 = PROGRESS_TIMEOUTS * ELECTION_MS;
+
+fn cluster(seed: u64, voters: usize, spares: usize, switches: Switches) -> Sim {
+    let settings = Settings { switches, ..settings() };
+    let mut sim = Sim::new(seed, voters, spares, settings, ledger());
+    sim.await_progress(LIMIT_MS).expect("the cluster starts");
+    sim.await_agreement(LIMIT_MS).expect("the cluster starts");
+    sim
+}
+
+fn id(sim: &Sim, at: usize) -> ReplicaId {
+    sim.nodes[at].id.clone()
+}
+
+fn leader_of(sim: &Sim) -> usize {
+    sim.leader().expect("there is a leader")
+}
+
+fn status_of(sim: &Sim, at: usize) -> Status {
+    sim.status(at).expect("the host is up")
+}
+
+fn block(sim: &mut Sim, groups: &[&[usize]]) {
+    sim.blocked.clear();
+    let group_of = |at: usize| groups.iter().position(|group| group.contains(&at));
+    for from in 0..sim.nodes.len() {
+        for to in 0..sim.nodes.len() {
+            if group_of(from) != group_of(to) {
+                sim.blocked.insert((from, to));
+            }
+        }
+    }
+}
+
+fn last_change(sim: &mut Sim, change: MemberChange) -> Answer {
+    let leader = leader_of(sim);
+    let known = sim.change_answers.len();
+    sim.change(leader, change).expect("the invariants hold");
+    for _ in 0..PROGRESS_TIMEOUTS {
+        if sim.change_answers.len() > known {
+            return sim.change_answers[known].clone();
+        }
+        sim.run(ELECTION_MS).expect("the invariants hold");
+    }
+    panic!("the change was not answered");
+}
+
+/// How much the term of the others rises after a follower was cut off for long and came back.
+fn term_rise(seed: u64, is_deaf: bool, is_mute: bool, switches: Switches) -> u64 {
+    let mut sim = cluster(seed, 3, 0, switches);
+    let leader = leader_of(&sim);
+    let (cut, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    let term = status_of(&sim, leader).term;
+    for at in [leader, other] {
+        if is_mute {
+            sim.blocked.insert((cut, at));
+        }
+        if is_deaf {
+            sim.blocked.insert((at, cut));
+        }
+    }
+    sim.run(100 * ELECTION_MS).expect("the invariants hold");
+    sim.blocked.clear();
+    sim.run(20 * ELECTION_MS).expect("the invariants hold");
+    sim.await_progress(LIMIT_MS).expect("the invariants hold");
+    status_of(&sim, other).term - term
+}
+
+/// Guards against a replica that was cut off raising the others' term and deposing the leader.
+#[test]
+fn a_replica_that_was_cut_off_for_long_does_not_disturb_the_others() {
+    let off = Switches { skip_pre_vote: true, ..Switches::default() };
+    for seed in 1..4 {
+        for (is_deaf, is_mute) in [(true, true), (true, false), (false, true)] {
+            assert_eq!(term_rise(seed, is_deaf, is_mute, Switches::default()), 0);
+        }
+        assert!(term_rise(seed, true, true, off) > 0, "pre-vote makes no difference");
+    }
+}
+
+/// Whether a leader that is cut off answers what it was asked within two election timeouts.
+fn is_answered_when_cut_off(seed: u64, switches: Switches) -> bool {
+    let mut sim = cluster(seed, 3, 0, switches);
+    let leader = leader_of(&sim);
+    block(&mut sim, &[&[leader]]);
+    let outside = ReplicaId::new("z", id(&sim, leader).disk);
+    sim.change(leader, MemberChange::AddLearner(outside)).expect("the invariants hold");
+    sim.run(3 * ELECTION_MS).expect("the invariants hold");
+    sim.change_answers == [Answer::Unknown]
+}
+
+/// Guards against callers that wait for ever on a leader that has lost its majority.
+#[test]
+fn a_leader_without_a_majority_says_so() {
+    let off = Switches { skip_check_quorum: true, ..Switches::default() };
+    for seed in 1..4 {
+        assert!(is_answered_when_cut_off(seed, Switches::default()));
+        assert!(!is_answered_when_cut_off(seed, off), "check-quorum makes no difference");
+    }
+}
+
+/// A leader with a slow clock is cut off and asked for a read after its successor has answered.
+fn read_at_old_leader(seed: u64, switches: Switches) -> Result<(), String> {
+    let mut sim = cluster(seed, 3, 0, switches);
+    let old = leader_of(&sim);
+    sim.nodes[old].clock_percent = 5;
+    block(&mut sim, &[&[old]]);
+    sim.run(4 * ELECTION_MS)?;
+    sim.await_progress(LIMIT_MS)?;
+    assert_ne!(sim.leader(), Some(old));
+    sim.read(old)?;
+    sim.run(ELECTION_MS)
+}
+
+/// Guards against stale reads at a leader that does not know of its successor.
+#[test]
+fn an_old_leader_does_not_answer_reads() {
+    let off = Switches { skip_read_round: true, ..Switches::default() };
+    for seed in 1..4 {
+        assert_eq!(read_at_old_leader(seed, Switches::default()), Ok(()));
+        let error = read_at_old_leader(seed, off).expect_err("the round makes no difference");
+        assert!(error.contains("was answered"), "{error}");
+    }
+}
+
+/// The schedule of figure 3.7 of the dissertation, on three replicas: a leader replicates an entry
+/// of its earlier term, is cut off, and a replica with a newer entry at that place is elected.
+fn old_entry_on_a_majority(seed: u64, switches: Switches) -> Result<(), String> {
+    let mut sim = cluster(seed, 3, 0, switches);
+    let first = leader_of(&sim);
+    let term = status_of(&sim, first).term;
+    let others: Vec<usize> = (0..3).filter(|at| *at != first).collect();
+    block(&mut sim, &[&[first], &others]);
+    // The command fills a message, so that the leader's later entries go in another one.
+    sim.propose(first, &[1; 100])?;
+    let index = status_of(&sim, first).last_index;
+    for _ in 0..2_000 {
+        sim.run(1)?;
+        if sim.leader().is_some_and(|at| status_of(&sim, at).term > term) {
+            break;
+        }
+    }
+    let second = leader_of(&sim);
+    assert_ne!(second, first);
+    let third = 3 - first - second;
+    sim.drop_messages_to(third);
+    block(&mut sim, &[&[first, third], &[second]]);
+    for _ in 0..2_000 {
+        sim.run(1)?;
+        if status_of(&sim, first).commit_index >= index {
+            break;
+        }
+    }
+    sim.drop_messages_to(third);
+    block(&mut sim, &[&[first], &[second, third]]);
+    sim.run(10 * ELECTION_MS)?;
+    sim.calm();
+    sim.await_progress(LIMIT_MS)?;
+    sim.await_agreement(LIMIT_MS)
+}
+
+/// Guards against entries of earlier terms that are taken for committed because a majority has
+/// them, and are then replaced.
+#[test]
+fn entries_of_earlier_terms_are_committed_only_with_one_of_the_own_term() {
+    let off = Switches { commit_old_terms: true, ..Switches::default() };
+    for seed in 1..10 {
+        assert_eq!(old_entry_on_a_majority(seed, Switches::default()), Ok(()), "seed {seed}");
+        let error = old_entry_on_a_majority(seed, off).expect_err("the rule makes no difference");
+        assert!(error.contains("entr"), "{error}");
+    }
+}
+
+/// Two leaders change the members a step away from the same configuration.
+fn race_of_changes(seed: u64, switches: Switches) -> Result<(), String> {
+    let mut sim = cluster(seed, 4, 1, switches);
+    let learner = id(&sim, 4);
+    let added = last_change(&mut sim, MemberChange::AddLearner(learner));
+    assert_eq!(added, Answer::MembersChanged);
+    sim.await_agreement(LIMIT_MS)?;
+    let old = leader_of(&sim);
+    let others: Vec<usize> = (0..4).filter(|at| *at != old).collect();
+    // The old leader promotes the learner, but only the learner hears of it.
+    block(&mut sim, &[&[old, 4], &others]);
+    sim.change(old, MemberChange::Promote(id(&sim, 4)))?;
+    let term = status_of(&sim, old).term;
+    let mut new = None;
+    for _ in 0..2_000 {
+        sim.run(1)?;
+        new = sim.leader().filter(|at| status_of(&sim, *at).term > term);
+        if new.is_some() {
+            break;
+        }
+    }
+    // The new leader removes the old one, and one of its followers does not hear of it.
+    let new = new.expect("the others elect a leader");
+    let rest: Vec<usize> = others.iter().copied().filter(|at| *at != new).collect();
+    block(&mut sim, &[&[new, rest[0]], &[old, 4], &[rest[1]]]);
+    sim.drop_messages_to(rest[1]);
+    sim.change(new, MemberChange::Remove(id(&sim, old)))?;
+    sim.run(2 * ELECTION_MS)?;
+    // With that follower, the old leader has a majority of the members that it knows.
+    block(&mut sim, &[&[new], &[rest[0]], &[old, 4, rest[1]]]);
+    sim.run(10 * ELECTION_MS)?;
+    sim.calm();
+    sim.await_progress(LIMIT_MS)?;
+    sim.await_agreement(LIMIT_MS)
+}
+
+/// Guards against two leaders whose majorities do not meet because each changed the members.
+#[test]
+fn a_new_leader_changes_no_members_before_it_has_committed() {
+    let off = Switches { early_membership_change: true, ..Switches::default() };
+    let mut failures = 0;
+    for seed in 1..40 {
+        assert_eq!(race_of_changes(seed, Switches::default()), Ok(()), "seed {seed}");
+        failures += u32::from(race_of_changes(seed, off).is_err());
+    }
+    assert!(failures > 0, "the rule makes no difference");
+}
+
+/// Guards against learners that vote before they hold what is committed, and against a replica on
+/// a new disk taking the place of its former self without a logged change.
+#[test]
+fn a_lost_voter_is_replaced_step_by_step_and_steps_can_be_repeated() {
+    let mut sim = cluster(7, 3, 0, Switches::default());
+    let leader = leader_of(&sim);
+    let lost = (leader + 1) % 3;
+    let former = id(&sim, lost);
+    sim.lose_disk(lost);
+    sim.start(lost);
+    let fresh = id(&sim, lost);
+    for number in 0..40_u32 {
+        sim.propose(leader, &number.to_le_bytes()).unwrap();
+        sim.run(10).unwrap();
+    }
+    assert_eq!(status_of(&sim, lost).last_index, 0, "nobody takes it for its former self");
+    let refused = |refusal| Answer::Refused(refusal);
+    let promote = MemberChange::Promote(fresh.clone());
+    assert_eq!(last_change(&mut sim, promote.clone()), refused(Refusal::NotLearner));
+    let add = MemberChange::AddLearner(fresh.clone());
+    for _ in 0..2 {
+        assert_eq!(last_change(&mut sim, add.clone()), Answer::MembersChanged);
+    }
+    sim.await_agreement(LIMIT_MS).unwrap();
+    assert!(sim.checker.chunks > 1, "the learner gets a snapshot in several parts");
+    assert!(sim.checker.max_chunk_bytes <= settings().chunk_bytes);
+    assert_eq!(last_change(&mut sim, promote.clone()), refused(Refusal::NameInUse));
+    for _ in 0..2 {
+        let remove = MemberChange::Remove(former.clone());
+        assert_eq!(last_change(&mut sim, remove), Answer::MembersChanged);
+    }
+    block(&mut sim, &[&[lost]]);
+    sim.run(2 * ELECTION_MS).unwrap();
+    assert_eq!(last_change(&mut sim, promote.clone()), refused(Refusal::NotCaughtUp));
+    sim.blocked.clear();
+    sim.await_agreement(LIMIT_MS).unwrap();
+    for _ in 0..2 {
+        assert_eq!(last_change(&mut sim, promote.clone()), Answer::MembersChanged);
+    }
+    let members = status_of(&sim, leader).configuration;
+    assert_eq!((members.voters.len(), members.learners.len()), (3, 0));
+    sim.crash((leader + 2) % 3);
+    sim.await_progress(LIMIT_MS).expect("the new voter counts");
+}
+
+/// Guards against a removal that leaves no majority, and against a removed leader that goes on.
+#[test]
+fn removals_keep_a_majority_and_a_removed_leader_steps_down() {
+    let mut sim = cluster(8, 3, 0, Switches::default());
+    let leader = leader_of(&sim);
+    let (down, up) = ((leader + 1) % 3, (leader + 2) % 3);
+    sim.crash(down);
+    sim.run(2 * ELECTION_MS).unwrap();
+    let remove_up = MemberChange::Remove(id(&sim, up));
+    let refused = Answer::Refused(Refusal::WouldLoseMajority);
+    assert_eq!(last_change(&mut sim, remove_up), refused);
+    sim.start(down);
+    sim.await_agreement(LIMIT_MS).unwrap();
+    let removed = id(&sim, leader);
+    assert_eq!(
+        last_change(&mut sim, MemberChange::Remove(removed.clone())),
+        Answer::MembersChanged
+    );
+    sim.run(5 * ELECTION_MS).unwrap();
+    sim.await_progress(LIMIT_MS).unwrap();
+    assert_ne!(sim.leader(), Some(leader));
+    let successor = leader_of(&sim);
+    assert!(!status_of(&sim, successor).configuration.has_member(&removed));
+}
+
+/// Guards against a replica without state that stands for election or starts a log of its own.
+#[test]
+fn a_replica_without_state_waits_to_be_added() {
+    let mut sim = cluster(9, 1, 2, Switches::default());
+    sim.run(100 * ELECTION_MS).unwrap();
+    for at in 1..3 {
+        let status = status_of(&sim, at);
+        assert_eq!((status.term, status.last_index), (0, 0));
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/replica/main.rs
@@ -0,0 +1,10 @@
+//! Property tests of replicas as deterministic cores, on a simulated network and simulated disks.
+
+mod catalogue;
+mod checker;
+mod directed;
+mod machine;
+mod mechanisms;
+mod node;
+mod schedule;
+mod sim;
