--- a/crates/consensus/src/raft/log.rs
+++ b/crates/consensus/src/raft/log.rs
@@ -111,6 +111,20 @@
         first
     }
 
+    /// New base that keeps some entries up to `index`, limited in number and in bytes.
+    pub(super) fn first_retained(&self, index: u64, most: u64, most_bytes: usize) -> u64 {
+        let mut base = index;
+        let mut bytes = 0;
+        while base > self.base_index && index - base < most {
+            bytes += self.entry(base).map_or(0, Entry::size_bytes);
+            if bytes > most_bytes {
+                break;
+            }
+            base -= 1;
+        }
+        base
+    }
+
     /// Drops the entries up to `index`, which must be in the log.
     pub(super) fn compact(&mut self, index: u64) {
         let Some(term) = self.term(index) else { return };
--- a/crates/consensus/src/raft/replica.rs
+++ b/crates/consensus/src/raft/replica.rs
@@ -111,6 +111,8 @@
     pub(super) election_at_ms: u64,
     pub(super) commit_index: u64,
     pub(super) applied_index: u64,
+    /// Bytes of entries applied since the latest snapshot.
+    pub(super) applied_bytes: usize,
     pub(super) configuration: Configuration,
     pub(super) configuration_index: u64,
     pub(super) outbox: Outbox,
@@ -161,6 +163,7 @@
             election_at_ms: 0,
             commit_index: snapshot_index,
             applied_index: snapshot_index,
+            applied_bytes: 0,
             configuration,
             configuration_index,
             outbox,
@@ -198,8 +201,10 @@
 
     /// Whether the state machine should be asked for a snapshot.
     pub fn is_snapshot_due(&self) -> bool {
-        self.stopped.is_none()
-            && self.applied_index >= self.snapshot_index() + self.settings.snapshot_entries
+        let entries = self.applied_index - self.snapshot_index();
+        let is_long = entries >= self.settings.snapshot_entries
+            || self.applied_bytes >= self.settings.snapshot_log_bytes;
+        self.stopped.is_none() && entries > 0 && is_long
     }
 
     /// What the replica knows.
--- a/crates/consensus/src/raft/replication.rs
+++ b/crates/consensus/src/raft/replication.rs
@@ -223,6 +223,7 @@
             let index = self.applied_index + 1;
             let Some(entry) = self.log.entry(index) else { return };
             let payload = entry.payload.clone();
+            self.applied_bytes += entry.size_bytes();
             self.applied_index = index;
             let request = match &mut self.role {
                 Role::Leader(leadership) => leadership.pending.remove(&index),
--- a/crates/consensus/src/raft/settings.rs
+++ b/crates/consensus/src/raft/settings.rs
@@ -18,27 +18,34 @@
     pub snapshot_bytes: u64,
     /// Entries applied after a snapshot before the next one is due.
     pub snapshot_entries: u64,
+    /// Bytes of entries applied after a snapshot before the next one is due.
+    pub snapshot_log_bytes: usize,
     /// Entries kept in memory behind a snapshot, for followers that are a little behind.
     pub retained_entries: u64,
+    /// Most bytes of these entries.
+    pub retained_bytes: usize,
     /// Mechanisms that tests turn off.
     #[doc(hidden)]
     pub switches: Switches,
 }
 
 impl Default for Settings {
-    /// Limits that keep a message below the 4 MiB of a frame, and times for data centres a few
+    /// Limits that keep a message below the 4 MiB of a frame and the log at a fraction of the
+    /// 128 MB that a node may take, and times for data centres a few
     /// milliseconds apart: an election is over well within the 10 s that a release note may take.
     fn default() -> Self {
         Self {
             heartbeat_ms: 100,
             election_ms: 1_000,
             batch_bytes: 512 << 10,
-            window_entries: 512,
-            command_bytes: 2 << 20,
+            window_entries: 64,
+            command_bytes: 1 << 20,
             chunk_bytes: 256 << 10,
             snapshot_bytes: 256 << 20,
             snapshot_entries: 4_096,
+            snapshot_log_bytes: 8 << 20,
             retained_entries: 1_024,
+            retained_bytes: 4 << 20,
             switches: Switches::default(),
         }
     }
--- a/crates/consensus/src/raft/snapshots.rs
+++ b/crates/consensus/src/raft/snapshots.rs
@@ -9,6 +9,7 @@
 use crate::raft::replica::Replica;
 use crate::raft::replica::Role;
 use crate::raft::Action;
+use crate::raft::Settings;
 
 /// Heartbeats without an answer after which a part of a snapshot is sent again.
 const CHUNK_REPEAT_HEARTBEATS: u64 = 4;
@@ -34,10 +35,9 @@
         let snapshot = Arc::new(Snapshot { index, term, configuration, data });
         self.snapshot = Some(Arc::clone(&snapshot));
         self.unsaved.snapshot = Some(snapshot);
-        let base_index = index.saturating_sub(self.settings.retained_entries);
-        if base_index > self.log.base_index() {
-            self.log.compact(base_index);
-        }
+        self.applied_bytes = 0;
+        let Settings { retained_entries, retained_bytes, .. } = self.settings;
+        self.log.compact(self.log.first_retained(index, retained_entries, retained_bytes));
     }
 
     /// Starts to send the snapshot to a member whose next entry is compacted.
@@ -145,6 +145,7 @@
         (self.configuration, self.configuration_index) = self.log.configuration_at(u64::MAX);
         self.commit_index = snapshot.index;
         self.applied_index = snapshot.index;
+        self.applied_bytes = 0;
         self.snapshot = Some(Arc::clone(&snapshot));
         self.unsaved.snapshot = Some(Arc::clone(&snapshot));
         self.actions.push(Action::InstallSnapshot(snapshot));
--- a/crates/consensus/src/storage/faulty_store.rs
+++ b/crates/consensus/src/storage/faulty_store.rs
@@ -44,6 +44,11 @@
         self.is_failing = true;
     }
 
+    /// Whether writes and syncs fail.
+    pub fn is_failing(&self) -> bool {
+        self.is_failing
+    }
+
     /// What a start would find.
     pub fn recover(&self) -> Recovered {
         self.synced.clone()
--- a/crates/consensus/tests/recovery.rs
+++ b/crates/consensus/tests/recovery.rs
@@ -308,3 +308,52 @@
         assert!(text.contains(part), "'{part}' is not in: {text}");
     }
 }
+
+/// Guards against a replica that cannot start after it stopped in the middle of a snapshot, or
+/// that then takes entries of the log that the snapshot replaced.
+#[test]
+fn an_interrupted_snapshot_is_finished_at_the_next_start() {
+    for (is_log_replaced, index) in [(false, 4), (true, 12)] {
+        let mut pair = Pair::new();
+        for (kind, size) in [(0, 0), (5, 3), (5, 2), (4, 0)] {
+            pair.act(kind, size);
+        }
+        let before = files_of(pair.folder.path());
+        let before: Vec<_> =
+            before.into_iter().map(|p| (p.clone(), fs::read(p).unwrap())).collect();
+        pair.snapshot(index, is_log_replaced);
+        let expected = Ok(pair.model.disk().recover());
+        let is_log = |path: &Path| path.to_string_lossy().contains("log-");
+        // The snapshot is there, but the segments are still the old ones.
+        let found = pair.open_damaged(|copy| {
+            segments(copy).iter().for_each(|path| fs::remove_file(path).unwrap());
+            for (path, bytes) in &before {
+                fs::write(copy.join(path.file_name().unwrap()), bytes).unwrap();
+            }
+        });
+        assert_eq!(found, expected);
+        // The new segment is there as well, but the old ones are not removed.
+        let found = pair.open_damaged(|copy| {
+            for (path, bytes) in before.iter().filter(|(path, _)| is_log(path)) {
+                fs::write(copy.join(path.file_name().unwrap()), bytes).unwrap();
+            }
+        });
+        assert_eq!(found, expected);
+    }
+}
+
+/// Guards against a store that goes on after a failure.
+#[test]
+fn a_store_that_failed_refuses_all_that_follows() {
+    let mut pair = Pair::new();
+    let entries = pair.entries(1, 2);
+    fs::remove_dir_all(pair.folder.path()).unwrap();
+    let hard_state = Some(HardState::default());
+    let request = PersistRequest { hard_state, ..PersistRequest::default() };
+    let error = pair.files.write(&request).unwrap_err();
+    assert!(matches!(error.downcast_ref(), Some(StorageError::Io { .. })));
+    let request = PersistRequest { entries, ..PersistRequest::default() };
+    for result in [pair.files.write(&request), pair.files.sync()] {
+        assert_eq!(result.unwrap_err().downcast_ref(), Some(&StorageError::Failed));
+    }
+}
--- a/crates/consensus/tests/replica/schedule.rs
+++ b/crates/consensus/tests/replica/schedule.rs
@@ -46,6 +46,7 @@
             }
             7 => sim.read(target)?,
             8 if sim.rng.random_bool(0.3) => power_failure(sim),
+            8 if sim.rng.random_bool(0.2) => sim.nodes[at].store.disk().fail(),
             8 => sim.crash(at),
             9 | 10 if sim.nodes[at].replica.is_none() => sim.start(at),
             11 if faults.has_lost_disks && may_lose_disk(sim, at) => {
