Do not take up a replaced log whose first segments are gone

The search for proof of a later sync looks at the mark of a record before it computes a checksum, because a damaged segment of 8 MiB would otherwise need many checksums.

--- a/crates/consensus/src/storage/recovery.rs
+++ b/crates/consensus/src/storage/recovery.rs
@@ -162,7 +162,11 @@
             return Err(damaged(path, HEADER_BYTES, "the snapshot before it is missing"));
         }
         let Some(snapshot) = snapshot else { return Ok(true) };
-        let is_newer = self.entries.first().is_some_and(|e| e.index == snapshot.index + 1);
+        // Entries of an earlier term behind the snapshot belong to a log that it replaces.
+        let is_newer = self
+            .entries
+            .first()
+            .is_some_and(|e| e.index == snapshot.index + 1 && e.term >= snapshot.term);
         let is_joined = self
             .entries
             .iter()
--- a/crates/consensus/src/storage/segment.rs
+++ b/crates/consensus/src/storage/segment.rs
@@ -13,6 +13,9 @@
 
 const RECORD_HEADER_BYTES: usize = 16;
 
+/// Place of the mark of what was synced in a record.
+const MARK_OFFSET: usize = 8;
+
 /// Longest record that is taken for one, in bytes; commands are limited far below.
 const MAX_RECORD_BYTES: usize = 64 << 20;
 
@@ -73,7 +76,6 @@
 #[derive(Debug)]
 pub(super) struct Record {
     pub(super) entry: Entry,
-    pub(super) synced_bytes: u64,
     /// Offset behind the record.
     pub(super) end: usize,
 }
@@ -82,7 +84,7 @@
 pub(super) fn read_record(bytes: &[u8], offset: usize) -> Option<Record> {
     let length = read_u32(bytes, offset)?;
     let crc = read_u32(bytes, offset + 4)?;
-    let synced_bytes = read_u64(bytes, offset + 8)?;
+    let synced_bytes = read_u64(bytes, offset + MARK_OFFSET)?;
     let start = offset + RECORD_HEADER_BYTES;
     let size = usize::try_from(length).ok().filter(|s| (1..=MAX_RECORD_BYTES).contains(s))?;
     let end = start + size;
@@ -91,16 +93,19 @@
         return None;
     }
     let entry = postcard::from_bytes(payload).ok()?;
-    Some(Record { entry, synced_bytes, end })
+    Some(Record { entry, end })
 }
 
 /// Whether a valid record behind `offset` proves that the segment was synced beyond `offset`.
 ///
-/// The search tries every position, because the length of a damaged record cannot be trusted.
+/// The search tries every position, because the length of a damaged record cannot be trusted. The
+/// mark is looked at first: it lies before its own record, so a checksum is rarely needed.
 pub(super) fn is_synced_beyond(bytes: &[u8], offset: usize) -> bool {
-    (offset + 1..bytes.len())
-        .filter_map(|at| read_record(bytes, at))
-        .any(|record| record.synced_bytes > offset as u64)
+    (offset + 1..bytes.len()).any(|at| {
+        let mark = read_u64(bytes, at + MARK_OFFSET);
+        let is_plausible = mark.is_some_and(|m| m > offset as u64 && m <= at as u64);
+        is_plausible && read_record(bytes, at).is_some()
+    })
 }
 
 fn read_u32(bytes: &[u8], at: usize) -> Option<u32> {
--- a/crates/consensus/tests/recovery.rs
+++ b/crates/consensus/tests/recovery.rs
@@ -342,6 +342,29 @@
     }
 }
 
+/// Guards against entries that a snapshot replaced coming back when only some of their segments
+/// were removed.
+#[test]
+fn a_replaced_log_does_not_come_back() {
+    let mut pair = Pair::new();
+    let entry = |index| Entry { term: 1, index, payload: Payload::Command(vec![1; 5 << 20]) };
+    pair.append(vec![entry(1), entry(2)]);
+    pair.sync();
+    pair.append(pair.entries(3, 2));
+    pair.sync();
+    let old = segments(pair.folder.path());
+    assert_eq!(old.len(), 2, "the first segment is full");
+    let bytes = fs::read(&old[1]).unwrap();
+    let (configuration, data) = (Configuration::default(), vec![2; 9]);
+    let snapshot = Some(Arc::new(Snapshot { index: 2, term: 5, configuration, data }));
+    pair.write(&PersistRequest { snapshot, is_log_replaced: true, ..PersistRequest::default() });
+    pair.sync();
+    let found = pair.open_damaged(|copy| {
+        fs::write(copy.join(old[1].file_name().unwrap()), &bytes).unwrap();
+    });
+    assert_eq!(found, Ok(pair.model.disk().recover()));
+}
+
 /// Guards against a store that goes on after a failure.
 #[test]
 fn a_store_that_failed_refuses_all_that_follows() {
