--- a/crates/consensus/tests/replica/mechanisms.rs
+++ b/crates/consensus/tests/replica/mechanisms.rs
@@ -54,7 +54,7 @@
 #[test]
 fn counting_a_replica_that_lost_its_disk_loses_commands() {
     let off = Switches { count_lost_disks: true, ..Switches::default() };
-    assert_matters(0..60, off, run_with_lost_disks);
+    assert_matters(0..120, off, run_with_lost_disks);
 }
 
 /// All hosts lose power as soon as a client has its answer, several times over.
--- a/crates/consensus/tests/replica/schedule.rs
+++ b/crates/consensus/tests/replica/schedule.rs
@@ -1,6 +1,7 @@
 use rand::Rng;
 use tarragon_consensus::protocol::Configuration;
 use tarragon_consensus::protocol::ReplicaId;
+use tarragon_consensus::raft::Answer;
 use tarragon_consensus::raft::MemberChange;
 use tarragon_testkit::check;
 
@@ -34,37 +35,45 @@
     for _ in 0..steps {
         let at = sim.pick(sim.nodes.len());
         let target = sim.leader().filter(|_| sim.rng.random_bool(0.7)).unwrap_or(at);
-        match sim.pick(20) {
-            0..=5 => {
-                let next = command(sim);
-                sent.push(next.clone());
-                sim.propose(target, &next)?;
+        // Repairs are as frequent as faults, so that most of the time there is a majority.
+        if sim.nodes[at].replica.is_none() {
+            sim.start(at);
+        }
+        match sim.pick(32) {
+            0..=9 => {
+                for _ in 0..1 + sim.pick(4) {
+                    let next = command(sim);
+                    sent.push(next.clone());
+                    sim.propose(target, &next)?;
+                }
             }
-            6 if !sent.is_empty() => {
+            10 if !sent.is_empty() => {
                 let again = sent[sim.pick(sent.len())].clone();
                 sim.propose(target, &again)?;
             }
-            7 => sim.read(target)?,
-            8 if sim.rng.random_bool(0.3) => power_failure(sim),
-            8 if sim.rng.random_bool(0.2) => sim.nodes[at].store.disk().fail(),
-            8 => sim.crash(at),
-            9 | 10 if sim.nodes[at].replica.is_none() => sim.start(at),
-            11 if faults.has_lost_disks && may_lose_disk(sim, at) => {
+            11 | 12 => sim.read(target)?,
+            13 => sim.crash(target),
+            14 => sim.crash(at),
+            15 if sim.rng.random_bool(0.3) => power_failure(sim),
+            15 => sim.nodes[at].store.disk().fail(),
+            16 if faults.has_lost_disks && may_lose_disk(sim, at) => {
                 sim.lose_disk(at);
                 sim.start(at);
             }
-            12 => block_around(sim, at, true),
-            13 => block_around(sim, at, false),
-            14 => sim.blocked.clear(),
-            15 => sim.nodes[at].is_paused = sim.nodes[at].replica.is_some(),
-            16 => sim.nodes[at].is_paused = false,
-            17 => sim.nodes[at].clock_percent = sim.rng.random_range(60..160),
-            18 => {
+            17 => block_around(sim, target, true),
+            18 => block_around(sim, at, false),
+            19 => sim.nodes[target].is_paused = sim.nodes[target].replica.is_some(),
+            20 => sim.nodes[at].clock_percent = sim.rng.random_range(60..160),
+            21 => {
                 sim.loss_percent = sim.rng.random_range(0..30);
                 sim.duplicate_percent = sim.rng.random_range(0..30);
-                sim.max_delay_ms = sim.rng.random_range(1..60);
+                sim.max_delay_ms = sim.rng.random_range(1..40);
             }
-            19 if faults.has_member_changes || faults.has_lost_disks => {
+            22 => (sim.loss_percent, sim.max_delay_ms) = (0, 5),
+            23 | 24 => sim.blocked.clear(),
+            25 => sim.nodes.iter_mut().for_each(|node| node.is_paused = false),
+            26 => sim.calm(),
+            27.. if faults.has_member_changes || faults.has_lost_disks => {
                 for change in next_changes(sim, faults) {
                     sim.change(target, change)?;
                 }
@@ -178,3 +187,21 @@
     }
     check(103, 150, property as fn(u64) -> Result<(), String>);
 }
+
+/// Guards against schedules that test less than they claim.
+#[test]
+fn schedules_reach_what_they_are_about() {
+    let (mut results, mut chunks, mut lost, mut changes, mut terms) = (0, 0, 0, 0, 0);
+    for seed in 0..20 {
+        let mut sim = Sim::new(seed, 3, 2, settings(), ledger());
+        assert_eq!(run_schedule(&mut sim, 100, ALL, numbered_command), Ok(()));
+        results += sim.results.len();
+        chunks += sim.checker.chunks;
+        lost += sim.lost.len();
+        changes += sim.change_answers.iter().filter(|a| **a == Answer::MembersChanged).count();
+        terms += sim.leader().and_then(|at| sim.status(at)).map_or(0, |s| s.term);
+    }
+    let reached = format!("{results} {chunks} {lost} {changes} {terms}");
+    let is_enough = results > 250 && chunks > 200 && lost > 20 && changes > 40 && terms > 80;
+    assert!(is_enough, "results, chunks, lost disks, changes, terms: {reached}");
+}
