Keep logs of different bootstraps apart and show followers in the status

Cause: a host that lost its disk and is bootstrapped again by mistake starts a second log. Its first entries agree with those of the first log in index and term, so replicas would have taken them for the same. Operators also could not see whether a learner has caught up. Change: a log has an identity, derived from the disk ids of its first voters. It is stored with term and vote, every message carries it, and messages of another log are dropped. The status of a leader lists the other members and whether they have caught up.

--- a/crates/consensus/src/driver/handle.rs
+++ b/crates/consensus/src/driver/handle.rs
@@ -61,7 +61,9 @@
     }
 
     /// Starts a new log with these voters. A replica that has state, or is not listed with its
-    /// disk id, ignores this. Call it on one replica only, once in the life of a deployment.
+    /// disk id, ignores this. Call it on one replica only, once in the life of a deployment, and
+    /// on an operator's word: a host that lost its disk must be added to the log that exists, not
+    /// start another one.
     pub async fn bootstrap(&self, voters: Vec<ReplicaId>) {
         let _ = self.inputs.send(Input::Bootstrap(voters)).await;
     }
--- a/crates/consensus/src/protocol/configuration.rs
+++ b/crates/consensus/src/protocol/configuration.rs
@@ -20,6 +20,14 @@
         Self { voters: voters.into_iter().collect(), learners: BTreeSet::new() }
     }
 
+    /// Identity of the log that these voters start: an FNV-1a hash of their disk ids, which are
+    /// random. It is never 0.
+    pub fn log_id(&self) -> u64 {
+        let bytes = self.voters.iter().flat_map(|id| id.disk.0.to_le_bytes());
+        let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        bytes.fold(0xcbf2_9ce4_8422_2325, mix).max(1)
+    }
+
     /// Voters and learners.
     pub fn members(&self) -> impl Iterator<Item = &ReplicaId> {
         self.voters.iter().chain(&self.learners)
--- a/crates/consensus/src/protocol/message.rs
+++ b/crates/consensus/src/protocol/message.rs
@@ -12,6 +12,8 @@
     pub from: ReplicaId,
     /// Receiver; a replica with another disk id drops the message.
     pub to: ReplicaId,
+    /// The sender's log; a replica of another log drops the message.
+    pub log_id: u64,
     /// Term of the sender; for a pre-vote, the term that it would start.
     pub term: u64,
     /// Content.
@@ -94,3 +96,11 @@
         is_installed: bool,
     },
 }
+
+impl Body {
+    /// Whether only a leader, or a candidate that lists the receiver as a voter, sends this. A
+    /// replica without state joins the log of such a message.
+    pub fn is_from_leader_or_candidate(&self) -> bool {
+        matches!(self, Self::Append { .. } | Self::SnapshotChunk { .. } | Self::Vote { .. })
+    }
+}
--- a/crates/consensus/src/raft/election.rs
+++ b/crates/consensus/src/raft/election.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::protocol::Body;
+use crate::protocol::Configuration;
 use crate::protocol::Entry;
 use crate::protocol::Payload;
 use crate::protocol::ReplicaId;
@@ -30,11 +31,13 @@
     /// Listing all initial voters on one of them suffices. Different lists on two replicas would
     /// start two different logs.
     pub(super) fn bootstrap(&mut self, voters: Vec<ReplicaId>) {
-        let is_new = self.log.is_empty() && self.term == 0;
+        let is_new = self.log.is_empty() && self.term == 0 && self.log_id == 0;
         if !is_new || !voters.contains(&self.id) {
             return;
         }
-        let payload = Payload::Members(crate::protocol::Configuration::of_voters(voters));
+        let members = Configuration::of_voters(voters);
+        self.log_id = members.log_id();
+        let payload = Payload::Members(members);
         self.set_term(1, None);
         self.append_entry(Entry { term: 1, index: 1, payload });
         self.election_at_ms = self.now_ms;
--- a/crates/consensus/src/raft/membership.rs
+++ b/crates/consensus/src/raft/membership.rs
@@ -12,6 +12,7 @@
 use crate::raft::replica::Replica;
 use crate::raft::replica::Role;
 use crate::raft::Answer;
+use crate::raft::FollowerStatus;
 use crate::raft::Refusal;
 use crate::raft::RequestNumber;
 
@@ -91,6 +92,18 @@
         progress.is_some_and(|p| p.match_index >= self.commit_index) && self.is_heard(id)
     }
 
+    /// The other members, as far as a leader knows.
+    pub(super) fn follower_statuses(&self) -> Vec<FollowerStatus> {
+        let Role::Leader(leadership) = &self.role else { return Vec::new() };
+        let status = |(id, progress): (&ReplicaId, &Progress)| FollowerStatus {
+            id: id.clone(),
+            match_index: progress.match_index,
+            is_heard: self.is_heard(id),
+            is_caught_up: self.is_caught_up(id),
+        };
+        leadership.progress.iter().map(status).collect()
+    }
+
     /// Starts to track new members and stops to track removed ones.
     fn update_progress(&mut self) {
         let (now_ms, next_index) = (self.now_ms, self.log.last_index());
--- a/crates/consensus/src/raft/replica.rs
+++ b/crates/consensus/src/raft/replica.rs
@@ -22,7 +22,10 @@
 use crate::raft::Event;
 use crate::raft::PersistRequest;
 use crate::raft::RequestNumber;
+use crate::raft::RoleKind;
 use crate::raft::Settings;
+use crate::raft::Status;
+use crate::raft::StopReason;
 
 /// What storage found at start.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -35,52 +38,6 @@
     pub entries: Vec<Entry>,
 }
 
-/// Role of a replica, for status and tests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RoleKind {
-    /// Follows a leader, or waits for one.
-    Follower,
-    /// Asks whether it could win an election.
-    PreCandidate,
-    /// Stands for election.
-    Candidate,
-    /// Leads its term.
-    Leader,
-    /// Takes part no more until it is restarted or replaced.
-    Stopped(StopReason),
-}
-
-/// Why a replica stopped.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StopReason {
-    /// A write or sync failed. A failed sync is never tried again, because the kernel may have
-    /// dropped the unwritten pages and report success the second time.
-    Storage,
-    /// A leader sent entries that contradict committed ones; going on would spread the damage.
-    CommittedConflict,
-}
-
-/// What a replica knows, for operators and tests.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Status {
-    /// The replica.
-    pub id: ReplicaId,
-    /// Its role.
-    pub role: RoleKind,
-    /// Its term.
-    pub term: u64,
-    /// The leader, if known.
-    pub leader: Option<ReplicaId>,
-    /// Last entry known to be committed; all up to here are applied.
-    pub commit_index: u64,
-    /// Last entry of the log.
-    pub last_index: u64,
-    /// Last entry of the latest snapshot.
-    pub snapshot_index: u64,
-    /// The members.
-    pub configuration: Configuration,
-}
-
 #[derive(Debug)]
 pub(super) enum Role {
     Follower,
@@ -101,6 +58,9 @@
     pub(super) now_ms: u64,
     pub(super) term: u64,
     pub(super) voted_for: Option<ReplicaId>,
+    /// Keeps the replica from taking entries of another log, which a host that was bootstrapped
+    /// by mistake would offer: entries of two logs may agree in index and term.
+    pub(super) log_id: u64,
     pub(super) log: Log,
     pub(super) snapshot: Option<Arc<Snapshot>>,
     pub(super) incoming: Option<IncomingSnapshot>,
@@ -153,6 +113,7 @@
             now_ms,
             term: hard_state.term,
             voted_for: hard_state.voted_for,
+            log_id: hard_state.log_id,
             log,
             snapshot,
             incoming: None,
@@ -218,6 +179,7 @@
             last_index: self.log.last_index(),
             snapshot_index: self.snapshot_index(),
             configuration: self.configuration.clone(),
+            followers: self.follower_statuses(),
         }
     }
 
@@ -254,7 +216,15 @@
         if !is_mine || message.from == self.id {
             return;
         }
-        let Message { from, term, body, .. } = message;
+        let Message { from, log_id, term, body, .. } = message;
+        // A replica without a log answers pre-votes before it joins the candidate's.
+        if self.log_id != 0 && log_id != 0 && self.log_id != log_id {
+            return;
+        }
+        if self.log_id == 0 && body.is_from_leader_or_candidate() {
+            self.log_id = log_id;
+            self.unsaved.is_hard_state_new = true;
+        }
         match body {
             Body::PreVote { last_index, last_term } => {
                 self.on_pre_vote(from, term, last_index, last_term);
@@ -319,15 +289,20 @@
 
     /// Queues a message that leaves once this step's state is stored.
     pub(super) fn send_after_storage(&mut self, to: ReplicaId, term: u64, body: Body) {
-        self.after_storage.push(Message { from: self.id.clone(), to, term, body });
+        let message = self.message(to, term, body);
+        self.after_storage.push(message);
     }
 
     /// Sends a message that speaks of no state that is yet to be stored.
     pub(super) fn send_now(&mut self, to: ReplicaId, term: u64, body: Body) {
-        let message = Message { from: self.id.clone(), to, term, body };
+        let message = self.message(to, term, body);
         self.actions.push(Action::Send(message));
     }
 
+    fn message(&self, to: ReplicaId, term: u64, body: Body) -> Message {
+        Message { from: self.id.clone(), to, log_id: self.log_id, term, body }
+    }
+
     pub(super) fn answer(&mut self, request: RequestNumber, answer: Answer) {
         self.actions.push(Action::Answer { request, answer });
     }
@@ -407,9 +382,11 @@
         if !is_changed {
             return;
         }
-        let hard_state = unsaved
-            .is_hard_state_new
-            .then(|| HardState { term: self.term, voted_for: self.voted_for.clone() });
+        let hard_state = unsaved.is_hard_state_new.then(|| HardState {
+            term: self.term,
+            voted_for: self.voted_for.clone(),
+            log_id: self.log_id,
+        });
         let first = unsaved.entries_from.map(|from| from.max(self.log.base_index() + 1));
         let entries = first.map(|from| self.log.tail(from)).unwrap_or_default();
         let sequence = self.outbox.issue(self.log.last_index());
--- a/crates/consensus/src/raft/replication.rs
+++ b/crates/consensus/src/raft/replication.rs
@@ -8,11 +8,11 @@
 use crate::raft::leadership::Progress;
 use crate::raft::replica::Replica;
 use crate::raft::replica::Role;
-use crate::raft::replica::StopReason;
 use crate::raft::Action;
 use crate::raft::Answer;
 use crate::raft::Refusal;
 use crate::raft::RequestNumber;
+use crate::raft::StopReason;
 
 impl Replica {
     pub(super) fn propose(&mut self, request: RequestNumber, command: Vec<u8>) {
--- a/crates/consensus/tests/driver.rs
+++ b/crates/consensus/tests/driver.rs
@@ -25,7 +25,7 @@
 use tarragon_consensus::StateMachine;
 use tokio_util::sync::CancellationToken;
 
-/// Appends commands to one text and answers with its length.
+/// Appends commands to one text and answers with the whole of it.
 #[derive(Default)]
 struct Text(Vec<u8>);
 
--- a/crates/consensus/tests/recovery.rs
+++ b/crates/consensus/tests/recovery.rs
@@ -101,7 +101,7 @@
         match kind % 8 {
             0 => {
                 self.term += 1;
-                let hard_state = Some(HardState { term: self.term, voted_for: None });
+                let hard_state = Some(HardState { term: self.term, ..HardState::default() });
                 self.write(&PersistRequest { hard_state, ..PersistRequest::default() });
                 self.sync();
             }
--- a/crates/consensus/tests/replica/checker.rs
+++ b/crates/consensus/tests/replica/checker.rs
@@ -37,7 +37,7 @@
 
 impl Checker {
     pub fn on_send(&mut self, message: &Message) {
-        let Message { from, to, term, body } = message;
+        let Message { from, to, term, body, .. } = message;
         match body {
             Body::VoteReply { is_granted: true } => {
                 self.votes.insert((*term, to.clone(), from.clone()));
--- a/crates/consensus/tests/replica/directed.rs
+++ b/crates/consensus/tests/replica/directed.rs
@@ -1,9 +1,16 @@
 //! Scenarios that random schedules reach too rarely, each with the mechanism on and off.
 
+use tarragon_consensus::protocol::Body;
+use tarragon_consensus::protocol::Configuration;
+use tarragon_consensus::protocol::DiskId;
+use tarragon_consensus::protocol::Message;
 use tarragon_consensus::protocol::ReplicaId;
 use tarragon_consensus::raft::Answer;
+use tarragon_consensus::raft::Event;
 use tarragon_consensus::raft::MemberChange;
+use tarragon_consensus::raft::Recovered;
 use tarragon_consensus::raft::Refusal;
+use tarragon_consensus::raft::Replica;
 use tarragon_consensus::raft::Settings;
 use tarragon_consensus::raft::Status;
 use tarragon_consensus::raft::Switches;
@@ -305,6 +312,23 @@
     assert!(!status_of(&sim, successor).configuration.has_member(&removed));
 }
 
+/// Guards against two logs that mix, after a host was bootstrapped by mistake.
+#[test]
+fn a_replica_drops_messages_of_another_log() {
+    let (own, other) = (ReplicaId::new("a", DiskId(1)), ReplicaId::new("b", DiskId(2)));
+    let mut replica = Replica::new(own.clone(), settings(), Recovered::default(), 1, 0);
+    replica.step(Event::Bootstrap(vec![own.clone()]), 0);
+    let before = replica.status();
+    let body =
+        Body::Append { prev_index: 1, prev_term: 1, entries: vec![], commit_index: 1, round: 0 };
+    let log_id = Configuration::of_voters([other.clone()]).log_id();
+    let mut message = Message { from: other, to: own, log_id, term: 9, body };
+    assert!(replica.step(Event::Receive(message.clone()), 0).is_empty());
+    assert_eq!(replica.status(), before);
+    message.log_id = before.configuration.log_id();
+    assert!(!replica.step(Event::Receive(message), 0).is_empty(), "its own log is followed");
+}
+
 /// Guards against a replica without state that stands for election or starts a log of its own.
 #[test]
 fn a_replica_without_state_waits_to_be_added() {
