Repeat a refutation to a member that missed it

Change: every accusation of the own node is answered with the whole record, in the ack of a ping or in a datagram of its own. The whole record also reaches a member that knows an older service name.

--- a/crates/membership/src/protocol/membership.rs
+++ b/crates/membership/src/protocol/membership.rs
@@ -229,6 +229,7 @@
         }
         self.learn_revision(header.highest_revision.max(header.revision), now_ms);
         self.merge_member_revision(header.instance, header.revision);
+        let is_accused = updates.iter().any(|update| self.is_accusation(update));
         if matches!(body, Body::Page { .. }) {
             self.merge_page(updates, now_ms);
         } else {
@@ -237,8 +238,14 @@
         if matches!(body, Body::Ping { .. } | Body::Ack { .. }) {
             self.compare_digest(&header, now_ms);
         }
+        if is_accused && !matches!(body, Body::Ping { .. }) {
+            // The sender may have missed a refutation that ended all other accusations.
+            self.send(from, Body::Gossip, vec![Update::Full(self.own.clone())]);
+        }
         match body {
-            Body::Ping { sequence, target } => self.answer_ping(from, &header, sequence, target),
+            Body::Ping { sequence, target } => {
+                self.answer_ping(from, &header, sequence, target, is_accused);
+            }
             Body::PingRequest { sequence, target, address } => {
                 self.relay_ping(from, sequence, target, address, now_ms);
             }
@@ -250,6 +257,16 @@
         }
     }
 
+    fn is_accusation(&self, update: &Update) -> bool {
+        let is_about_own = update.instance() == self.own.instance;
+        is_about_own
+            && self.settings.mechanisms.has_refutation
+            && matches!(
+                update,
+                Update::Suspect { .. } | Update::Unreachable { .. } | Update::Dead { .. }
+            )
+    }
+
     fn change_own(&mut self, service: String, state: BackendState, revision: u64, now_ms: u64) {
         if self.has_left {
             return;
--- a/crates/membership/src/protocol/probing.rs
+++ b/crates/membership/src/protocol/probing.rs
@@ -187,23 +187,20 @@
         header: &Header,
         sequence: u32,
         target: InstanceId,
+        is_accused: bool,
     ) {
         let mut directed = Vec::new();
         if target != self.own.instance {
             directed.push(Update::Dead { instance: target, version: FINAL_VERSION });
+        }
+        if target != self.own.instance || is_accused {
             directed.push(Update::Full(self.own.clone()));
-        } else if self.has_news_of_own() {
-            directed.push(Update::brief(&self.own));
         }
         directed.extend(self.belief_about(header.instance));
         let updates = self.piggyback(directed);
         self.send(from, Body::Ack { sequence, responder: self.own.instance }, updates);
     }
 
-    fn has_news_of_own(&self) -> bool {
-        self.spreading.queue.iter().any(|(id, _)| id == self.own.instance)
-    }
-
     /// What a sender must hear about itself: that it is unknown, suspected or lost here.
     fn belief_about(&self, sender: InstanceId) -> Option<Update> {
         match self.status_of(sender) {
--- a/crates/membership/tests/cluster/mod.rs
+++ b/crates/membership/tests/cluster/mod.rs
@@ -124,6 +124,8 @@
             region: format!("region-{}", data_centre / 2),
             gossip_address: address_of(at),
             peer_address: address_of(at),
+            control_address: address_of(at),
+            replica_address: None,
             service: format!("service-{:03}", at % 310),
             state: BackendState::Ready,
             version: 1,
--- a/crates/membership/tests/schedules.rs
+++ b/crates/membership/tests/schedules.rs
@@ -129,3 +129,11 @@
     }
     tarragon_testkit::check(41, 60, agree as fn(Schedule) -> TestResult);
 }
+
+/// Both sides of a cut that lasted long enough must find each other again.
+#[test]
+fn kept_schedule_of_two_cuts() {
+    let faults = vec![(4_481, Fault::Cut(1)), (20_000, Fault::Cut(0)), (15_000, Fault::Heal)];
+    let schedule = Schedule { seed: 446_341_104, is_paged: false, duplication: 0.06, faults };
+    assert_eq!(run_schedule(&schedule), Ok(()));
+}
