--- a/crates/membership/src/protocol/exchange.rs
+++ b/crates/membership/src/protocol/exchange.rs
@@ -116,14 +116,16 @@
 
     /// Compares digests after a contact. If none matched for long, updates have been missed.
     pub(super) fn compare_digest(&mut self, header: &Header, now_ms: u64) {
-        if header.digest == self.digest() {
+        if header.digest == self.digest {
             self.exchange.last_match_ms = now_ms;
             return;
         }
         let is_due = now_ms >= self.exchange.last_match_ms + self.settings.repair_after_ms
             && now_ms >= self.exchange.next_repair_ms;
         if is_due {
-            let wait_ms = self.jittered(self.settings.repair_interval_ms);
+            let members = self.table.reachable_count() as u64;
+            let by_size_ms = members * self.settings.repair_interval_ms_per_member;
+            let wait_ms = self.jittered(by_size_ms.max(self.settings.repair_interval_ms));
             self.exchange.next_repair_ms = now_ms + wait_ms;
             self.start_exchange(header.instance, now_ms);
         }
--- a/crates/membership/src/protocol/membership.rs
+++ b/crates/membership/src/protocol/membership.rs
@@ -48,8 +48,9 @@
     pub(super) counts: Counts,
     highest_revision: u64,
     sequence: u32,
-    /// Digest of the members; none after a change.
-    digest: Option<u32>,
+    /// Hash over the reachable members and their versions, and the own part of it.
+    pub(super) digest: u32,
+    own_digest_part: u32,
     last_event_ms: u64,
     next_forget_ms: u64,
     pub(super) actions: Vec<Action>,
@@ -77,6 +78,7 @@
             within(settings.full_exchange_interval_ms) + settings.join_retry_ms,
             within(settings.seed_contact_interval_ms) + settings.join_retry_ms,
         );
+        let own_digest_part = hash(&own);
         Self {
             rng,
             table: MemberTable::new(&own.data_centre),
@@ -92,7 +94,8 @@
             health,
             counts: Counts::default(),
             sequence,
-            digest: None,
+            digest: own_digest_part,
+            own_digest_part,
             last_event_ms: now_ms,
             next_forget_ms: now_ms,
             actions: Vec::new(),
@@ -344,34 +347,28 @@
             instance: self.own.instance,
             revision: self.own.revision,
             highest_revision: self.highest_revision,
-            digest: self.digest(),
+            digest: self.digest,
         };
         self.actions.push(Action::Send(to, Datagram { header, body, updates }));
     }
 
-    /// Hash over the reachable members and their versions.
-    pub(super) fn digest(&mut self) -> u32 {
-        if let Some(digest) = self.digest {
-            return digest;
-        }
-        let others = self.table.iter().filter(|e| e.status.is_reachable()).map(|e| &e.record);
-        let digest = std::iter::once(&self.own).chain(others).fold(0, |sum, r| sum ^ hash(r));
-        self.digest = Some(digest);
-        digest
-    }
-
     pub(super) fn note_removal(&mut self, entry: Entry) {
-        self.digest = None;
+        self.digest ^= entry.digest_part;
         self.changed.push(Member { record: entry.record, status: entry.status });
     }
 
     /// Adds a member to the list of changes of this step.
     pub(super) fn note_change(&mut self, id: InstanceId) {
-        self.digest = None;
         if id == self.own.instance {
+            let part = hash(&self.own);
+            self.digest ^= self.own_digest_part ^ part;
+            self.own_digest_part = part;
             let status = if self.has_left { MemberStatus::Left } else { MemberStatus::Alive };
             self.changed.push(Member { record: self.own.clone(), status });
-        } else if let Some(entry) = self.table.entry(id) {
+        } else if let Some(entry) = self.table.entry_mut(id) {
+            let part = if entry.status.is_reachable() { hash(&entry.record) } else { 0 };
+            self.digest ^= entry.digest_part ^ part;
+            entry.digest_part = part;
             self.changed.push(Member { record: entry.record.clone(), status: entry.status });
         }
     }
--- a/crates/membership/src/protocol/merging.rs
+++ b/crates/membership/src/protocol/merging.rs
@@ -6,6 +6,7 @@
 use crate::message::service_tag;
 use crate::message::Update;
 use crate::message::FINAL_VERSION;
+use crate::protocol::suspicion::min_timeout_ms;
 use crate::protocol::suspicion::Suspicion;
 use crate::protocol::table::Tombstone;
 use crate::protocol::update_queue::Urgency;
@@ -266,10 +267,12 @@
     pub(super) fn expire_suspicions(&mut self, now_ms: u64) {
         let members = self.table.reachable_count() + 1;
         let settings = &self.settings;
+        let min_ms = min_timeout_ms(members, settings);
         let suspects = self.table.suspects.iter().filter_map(|id| self.table.entry(*id));
         let expired: Vec<(InstanceId, u32)> = suspects
             .filter(|e| {
-                e.suspicion.as_ref().is_some_and(|s| s.has_expired(members, settings, now_ms))
+                let suspicion = e.suspicion.as_ref();
+                suspicion.is_some_and(|s| s.has_expired(min_ms, members, settings, now_ms))
             })
             .map(|e| (e.record.instance, e.status_version))
             .collect();
--- a/crates/membership/src/protocol/suspicion.rs
+++ b/crates/membership/src/protocol/suspicion.rs
@@ -35,8 +35,17 @@
         self.started_ms += by_ms;
     }
 
-    pub fn has_expired(&self, members: usize, settings: &MembershipSettings, now_ms: u64) -> bool {
-        let min_ms = min_timeout_ms(members, settings);
+    /// Whether the timeout has passed; `min_ms` is the one of `min_timeout_ms`.
+    pub fn has_expired(
+        &self,
+        min_ms: f64,
+        members: usize,
+        settings: &MembershipSettings,
+        now_ms: u64,
+    ) -> bool {
+        if now_ms < self.started_ms + min_ms as u64 {
+            return false;
+        }
         let max_ms = min_ms * settings.suspicion_max_factor;
         // With few members there are too few possible accusers to wait for.
         let expected = settings.suspicion_confirmations.min(members.saturating_sub(2));
--- a/crates/membership/src/protocol/table.rs
+++ b/crates/membership/src/protocol/table.rs
@@ -19,6 +19,8 @@
     pub status_version: u32,
     pub since_ms: u64,
     pub suspicion: Option<Suspicion>,
+    /// The member's part of the digest; zero if it is not in it.
+    pub digest_part: u32,
 }
 
 /// Trace of an instance that is gone for good.
@@ -83,6 +85,7 @@
             status: MemberStatus::Alive,
             since_ms: now_ms,
             suspicion: None,
+            digest_part: 0,
         };
         self.entries.insert(id, entry);
     }
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -52,8 +52,11 @@
     pub full_exchange_interval_ms: u64,
     /// A node whose digest matched no other one for this time makes a full exchange.
     pub repair_after_ms: u64,
-    /// Mean time between two such exchanges, which bounds their traffic during churn.
+    /// Shortest mean time between two such exchanges.
     pub repair_interval_ms: u64,
+    /// Mean time between two such exchanges per reachable member, which bounds their traffic in
+    /// large clusters: a record is about 100 bytes, so 100 ms are 1,000 bytes/s.
+    pub repair_interval_ms_per_member: u64,
     /// A full exchange after a partition starts at a random time within this period.
     pub heal_jitter_ms: u64,
     /// Period at which a join is tried again.
@@ -121,7 +124,8 @@
             unreachable_keep_ms: 24 * 3_600_000,
             full_exchange_interval_ms: 120_000,
             repair_after_ms: 8_000,
-            repair_interval_ms: 30_000,
+            repair_interval_ms: 10_000,
+            repair_interval_ms_per_member: 100,
             heal_jitter_ms: 30_000,
             join_retry_ms: 1_000,
             seed_contact_interval_ms: 60_000,
--- a/crates/membership/tests/simulation/schedules.rs
+++ b/crates/membership/tests/simulation/schedules.rs
@@ -96,7 +96,7 @@
     };
     let mut cluster = Cluster::new(&SIZES, settings, schedule.seed);
     cluster.network.duplication = schedule.duplication;
-    // A few members miss a record when all join at once; a repair by digest takes up to 45 s.
+    // A few members miss a record when all join at once; a repair by digest takes up to 25 s.
     cluster.run(60_000);
     let early = cluster.disagreements();
     if !early.is_empty() {
