Tell all members which revision each member has reached

Cause: a member learnt another one's revision only from its headers and from full exchanges, so the state of a release note was up to 180 s behind.

Change: a short update carries the revision that a member has reached. Such updates have a queue of their own, few transmissions, and half of the burst is kept for other updates, so that 2,200 of them do not delay a drain.

Ruled out: a new version of the record for each revision; its 14 transmissions of 2,200 records would be several MB per member and release note.

--- a/crates/membership/examples/measure_membership.rs
+++ b/crates/membership/examples/measure_membership.rs
@@ -161,6 +161,43 @@
     );
 }
 
+/// A new revision, then all members reach it within 2 s while another node drains.
+fn measure_revision(size: usize, seed: u64) {
+    let (mut cluster, meter) = metered(size, seed);
+    cluster.introduce_all();
+    cluster.run(15_000);
+    cluster.set_state(0, BackendState::Ready, 1);
+    let (_, known_ms, _) =
+        time_to_reach(&mut cluster, 30_000, |node| node.core.highest_known_revision() == 1);
+    println!("  new revision known to all members after {known_ms:?} ms");
+    let mut drained_ms = None;
+    report_cost("release note in force, 78 s", &mut cluster, &meter, |cluster| {
+        for part in 0..20 {
+            (0..size).filter(|at| at % 20 == part).for_each(|at| {
+                cluster.set_state(at, BackendState::Ready, 1);
+            });
+            cluster.run(100);
+        }
+        let instance = cluster.nodes[1].instance;
+        cluster.set_state(1, BackendState::Draining, 1);
+        drained_ms = time_to_reach(cluster, 30_000, |node| {
+            let record = node.core.record_of(instance);
+            node.instance == instance || record.is_some_and(|r| r.state == BackendState::Draining)
+        })
+        .1;
+        cluster.run(76_000 - drained_ms.unwrap_or(30_000));
+    });
+    let mut known = 0;
+    for (_, node) in cluster.live() {
+        known += node.core.reachable().iter().filter(|record| record.revision == 1).count();
+    }
+    println!(
+        "    a drain meanwhile reaches all after {drained_ms:?} ms; at the end {:.2}% of the \
+         members' revisions are known",
+        known as f64 * 100.0 / (size * size) as f64
+    );
+}
+
 fn measure_kills(size: usize, seed: u64) {
     let (mut cluster, _) = metered(size, seed);
     cluster.introduce_all();
@@ -249,6 +286,7 @@
         measure_drain(size, seed, 0.0);
         measure_drain(size, seed, 0.05);
         measure_drain(size, seed, 0.2);
+        measure_revision(size, seed);
         measure_kills(size, seed);
         for loss in [0.01, 0.05, 0.2] {
             measure_loss(size, seed, loss);
--- a/crates/membership/src/message/update.rs
+++ b/crates/membership/src/message/update.rs
@@ -65,6 +65,13 @@
         /// The member.
         instance: InstanceId,
     },
+    /// The member has reached a catalogue revision; its record is unchanged otherwise.
+    Revision {
+        /// The member.
+        instance: InstanceId,
+        /// The revision.
+        revision: u64,
+    },
     /// The sender has no record of the receiver.
     Unknown {
         /// Instance of the receiver.
@@ -108,6 +115,7 @@
             | Self::Suspect { instance, .. }
             | Self::Unreachable { instance, .. }
             | Self::Dead { instance, .. }
+            | Self::Revision { instance, .. }
             | Self::Left { instance }
             | Self::Unknown { instance } => *instance,
         }
@@ -129,6 +137,7 @@
             Self::Brief { .. } => 2 * INTEGER_BYTES + 10,
             Self::Suspect { .. } => INTEGER_BYTES + 9,
             Self::Unreachable { .. } | Self::Dead { .. } => INTEGER_BYTES + 6,
+            Self::Revision { .. } => 2 * INTEGER_BYTES + 1,
             Self::Left { .. } | Self::Unknown { .. } => INTEGER_BYTES + 1,
         }
     }
--- a/crates/membership/src/protocol/membership.rs
+++ b/crates/membership/src/protocol/membership.rs
@@ -280,6 +280,7 @@
         if is_revision_change {
             self.own.revision = revision;
             self.learn_revision(revision, now_ms);
+            self.spreading.revisions.push(self.own.instance, Urgency::State, false);
         }
         if is_state_change {
             self.own.service = service;
--- a/crates/membership/src/protocol/merging.rs
+++ b/crates/membership/src/protocol/merging.rs
@@ -39,11 +39,13 @@
         }
         match update {
             Update::Full(record) => {
+                self.learn_revision(record.revision, now_ms);
                 if self.merge_record(*record, now_ms) {
                     self.spreading.queue.push(id, Urgency::State, true);
                 }
             }
             Update::Brief { instance, version, state, revision, service_tag } => {
+                self.learn_revision(revision, now_ms);
                 let brief = Brief { instance, version, state, revision, service_tag };
                 self.merge_brief(&brief, now_ms);
             }
@@ -54,6 +56,10 @@
             Update::Dead { version: FINAL_VERSION, .. } => self.bury(id, false, now_ms),
             Update::Dead { version, .. } => self.lose(id, MemberStatus::Dead, version, now_ms),
             Update::Left { .. } => self.bury(id, true, now_ms),
+            Update::Revision { revision, .. } => {
+                self.learn_revision(revision, now_ms);
+                self.merge_member_revision(id, revision);
+            }
             Update::Unknown { .. } => {}
         }
     }
@@ -70,7 +76,7 @@
                 self.spreading.queue.push(self.own.instance, Urgency::State, true);
                 return;
             }
-            Update::Left { .. } => return,
+            Update::Left { .. } | Update::Revision { .. } => return,
         };
         let is_behind =
             if is_accusation { claimed >= self.own.version } else { claimed > self.own.version };
@@ -192,13 +198,14 @@
         self.note_change(id);
     }
 
-    /// Notes the revision that a member has reached. It travels with headers and full exchanges
-    /// only: 2,200 members that each announced each of 1,100 daily revisions would use up the
-    /// traffic budget.
+    /// Notes the revision that a member has reached and passes it on. Such news have a queue of
+    /// their own: 2,200 members that announced each of 1,100 daily revisions as changes of their
+    /// records would use up the traffic budget and delay drains.
     pub(super) fn merge_member_revision(&mut self, id: InstanceId, revision: u64) {
         if let Some(entry) = self.table.entry_mut(id) {
             if revision > entry.record.revision {
                 entry.record.revision = revision;
+                self.spreading.revisions.push(id, Urgency::State, false);
                 self.note_change(id);
             }
         }
--- a/crates/membership/src/protocol/spreading.rs
+++ b/crates/membership/src/protocol/spreading.rs
@@ -24,6 +24,8 @@
 #[derive(Debug)]
 pub(super) struct Spreading {
     pub queue: UpdateQueue,
+    /// Members that have reached a new revision. They fill the space that other updates leave.
+    pub revisions: UpdateQueue,
     next_ms: u64,
     /// Rounds in which datagrams are sent for the sake of the revision in their header alone.
     revision_transmits: u32,
@@ -36,6 +38,7 @@
     pub fn new(next_ms: u64, settings: &MembershipSettings, now_ms: u64) -> Self {
         Self {
             queue: UpdateQueue::default(),
+            revisions: UpdateQueue::default(),
             next_ms,
             revision_transmits: 0,
             allowance_bytes: settings.gossip_burst_bytes as i64,
@@ -51,6 +54,12 @@
         self.revision_transmits = transmits;
     }
 
+    /// Whether revisions of members may be sent: half of the burst is kept for other updates.
+    fn may_send_revisions(&self, settings: &MembershipSettings) -> bool {
+        let reserve_bytes = (settings.gossip_burst_bytes / 2) as i64;
+        !self.revisions.is_empty() && self.allowance_bytes > reserve_bytes
+    }
+
     fn refill(&mut self, settings: &MembershipSettings, now_ms: u64) {
         let passed_ms = now_ms.saturating_sub(self.refilled_ms);
         let added = passed_ms * settings.gossip_bytes_per_s / 1_000;
@@ -76,12 +85,17 @@
     /// Sends a round of gossip if one is due. Two of three datagrams stay in the own data centre,
     /// because the links between data centres cost more.
     pub(super) fn spread(&mut self, now_ms: u64) {
-        let has_news = !self.spreading.queue.is_empty() || self.spreading.revision_transmits > 0;
-        if !has_news || now_ms < self.spreading.next_ms {
+        if now_ms < self.spreading.next_ms {
             return;
         }
-        self.spreading.next_ms = now_ms + self.settings.gossip_interval_ms;
         self.spreading.refill(&self.settings, now_ms);
+        let has_news = !self.spreading.queue.is_empty()
+            || self.spreading.revision_transmits > 0
+            || self.spreading.may_send_revisions(&self.settings);
+        if !has_news {
+            return;
+        }
+        self.spreading.next_ms = now_ms + self.settings.gossip_interval_ms;
         for round in 0..self.settings.gossip_fanout {
             if self.spreading.allowance_bytes <= 0 {
                 return;
@@ -118,7 +132,7 @@
         let mut taken = Vec::new();
         for (id, is_full) in self.spreading.queue.iter() {
             let Some(update) = self.update_of(id, is_full) else {
-                taken.push((id, 0));
+                taken.push((id, false));
                 continue;
             };
             let size_bytes = update.size_bytes();
@@ -126,21 +140,42 @@
                 break;
             }
             free_bytes -= size_bytes;
-            taken.push((id, size_bytes));
+            taken.push((id, true));
             updates.push(update);
         }
+        if self.spreading.may_send_revisions(&self.settings) {
+            self.add_revisions(free_bytes, &mut updates);
+        }
         let max_transmits = self.max_transmits();
-        let mut sent_bytes = OVERHEAD_BYTES as i64;
-        for (id, size_bytes) in taken {
+        for (id, is_sent) in taken {
             // An update without content is about a forgotten member and is dropped.
-            let limit = if size_bytes == 0 { 0 } else { max_transmits };
-            self.spreading.queue.sent(id, limit);
-            sent_bytes += size_bytes as i64;
+            self.spreading.queue.sent(id, if is_sent { max_transmits } else { 0 });
         }
-        self.spreading.allowance_bytes -= sent_bytes;
+        let sent_bytes = updates.iter().map(|u| u.size_bytes() as u64).sum::<u64>();
+        self.spreading.allowance_bytes -= (OVERHEAD_BYTES + sent_bytes) as i64;
         updates
     }
 
+    fn add_revisions(&mut self, mut free_bytes: usize, updates: &mut Vec<Update>) {
+        let mut taken = Vec::new();
+        for (instance, _) in self.spreading.revisions.iter() {
+            let own = (instance == self.own.instance).then_some(self.own.revision);
+            let revision = own.or_else(|| Some(self.table.entry(instance)?.record.revision));
+            let update = revision.map(|revision| Update::Revision { instance, revision });
+            let size_bytes = update.as_ref().map_or(0, Update::size_bytes);
+            if size_bytes > free_bytes {
+                break;
+            }
+            free_bytes -= size_bytes;
+            taken.push((instance, update.is_some()));
+            updates.extend(update);
+        }
+        let max_transmits = self.settings.revision_transmits;
+        for (id, is_sent) in taken {
+            self.spreading.revisions.sent(id, if is_sent { max_transmits } else { 0 });
+        }
+    }
+
     /// The present news about a member.
     pub(super) fn update_of(&self, id: InstanceId, is_full: bool) -> Option<Update> {
         let alive = |record: &MemberRecord| {
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -38,6 +38,9 @@
     pub gossip_fanout: usize,
     /// Transmissions of one update, per decade of the cluster size.
     pub retransmit_factor: u32,
+    /// Transmissions of the news that a member has reached a revision. They are few, because all
+    /// members send such news after each release note.
+    pub revision_transmits: u32,
     /// Rate that gossip may use, which bounds the burst after a partition.
     pub gossip_bytes_per_s: u64,
     /// Gossip that may be sent at once after a quiet period.
@@ -117,6 +120,7 @@
             gossip_interval_ms: 200,
             gossip_fanout: 3,
             retransmit_factor: 4,
+            revision_transmits: 6,
             gossip_bytes_per_s: 6_000,
             gossip_burst_bytes: 18_000,
             reprobe_interval_ms: 5_000,
--- a/crates/membership/tests/messages.rs
+++ b/crates/membership/tests/messages.rs
@@ -96,12 +96,13 @@
         };
         let updates = (0..usize::arbitrary(g) % 5).map(|_| {
             let (id, version) = (instance(g), u32::arbitrary(g));
-            match u8::arbitrary(g) % 7 {
+            match u8::arbitrary(g) % 8 {
                 0 | 1 => Update::Full(Box::new(MemberRecord { instance: id, ..any_record(g) })),
                 2 => Update::brief(&MemberRecord { instance: id, ..any_record(g) }),
                 3 => Update::Suspect { instance: id, version, accuser: u16::arbitrary(g) },
                 4 => Update::Unreachable { instance: id, version },
                 5 => Update::Dead { instance: id, version },
+                6 => Update::Revision { instance: id, revision: u64::arbitrary(g) },
                 _ => Update::Left { instance: id },
             }
         });
--- a/crates/membership/tests/simulation/mechanisms.rs
+++ b/crates/membership/tests/simulation/mechanisms.rs
@@ -204,3 +204,19 @@
     let per_node = (cluster.exchanged_records - exchanged) / 24;
     assert!(per_node <= 8 * 24, "{per_node} records per node after healing");
 }
+
+/// The nodes that answer for a release note must learn soon which members have it in force.
+#[test]
+fn the_revision_of_every_member_is_known_within_10_s() {
+    let mut cluster = cluster(71, |_| {});
+    for node in 0..24 {
+        cluster.set_state(node, BackendState::Ready, 9);
+    }
+    cluster.run(1_000);
+    assert!(cluster.live().all(|(_, node)| node.core.highest_known_revision() == 9));
+    cluster.run(9_000);
+    for (at, node) in cluster.live() {
+        let mut members = node.core.reachable().into_iter();
+        assert!(members.all(|member| member.revision == 9), "{at}");
+    }
+}
