Repair members that miss the same update

The driver decides by itself whether exchanges use TCP. Tests for a rack that is cut off for an hour and forgotten, and for datagrams sealed with another key.

Ruled out: an exchange at the first difference in a quiet time; an update on its way would make almost every member of a large cluster exchange all records.

--- a/crates/membership/src/driver/udp_driver.rs
+++ b/crates/membership/src/driver/udp_driver.rs
@@ -61,13 +61,14 @@
 
 impl Driver {
     /// Creates the driver and its handle. Time starts at zero, so `membership` must have been
-    /// created with `now_ms` zero. Without a `source` the settings must not claim one.
+    /// created with `now_ms` zero. Without a `source`, full exchanges are paged over UDP.
     pub fn new(
         socket: UdpSocket,
         key: DeploymentKey,
-        membership: Membership,
+        mut membership: Membership,
         source: Option<Arc<dyn FullStateSource>>,
     ) -> (Self, MembershipHandle) {
+        membership.use_full_state_source(source.is_some());
         let (sender, commands) = mpsc::unbounded_channel();
         let (view, receiver) = watch::channel(view_of(&membership));
         let counters = Arc::new(DriverCounters::default());
--- a/crates/membership/src/protocol/exchange.rs
+++ b/crates/membership/src/protocol/exchange.rs
@@ -29,6 +29,14 @@
 /// Requests for one page before the exchange is given up.
 const MAX_PAGE_ATTEMPTS: u32 = 5;
 
+/// Two digests that differed.
+#[derive(Debug, Clone, Copy)]
+struct Difference {
+    own: u32,
+    other: u32,
+    since_ms: u64,
+}
+
 /// Joins and full exchanges.
 #[derive(Debug)]
 pub(super) struct Exchange {
@@ -41,6 +49,7 @@
     paged: Option<PagedExchange>,
     /// When another node's digest was last equal to the own one.
     last_match_ms: u64,
+    difference: Option<Difference>,
     next_repair_ms: u64,
 }
 
@@ -54,6 +63,7 @@
             after_heal: None,
             paged: None,
             last_match_ms: now_ms,
+            difference: None,
             next_repair_ms: now_ms,
         }
     }
@@ -114,15 +124,26 @@
         }
     }
 
-    /// Compares digests after a contact. If none matched for long, updates have been missed.
+    /// Compares digests after a contact, and makes a full exchange if updates have been missed.
+    ///
+    /// That is so if none matched for long. It is also so if both digests were seen before, long
+    /// enough ago for every update to have arrived: other members may have missed the same update
+    /// and match.
     pub(super) fn compare_digest(&mut self, header: &Header, now_ms: u64) {
+        let after_ms = self.settings.repair_after_ms;
         if header.digest == self.digest {
             self.exchange.last_match_ms = now_ms;
             return;
         }
-        let is_due = now_ms >= self.exchange.last_match_ms + self.settings.repair_after_ms
-            && now_ms >= self.exchange.next_repair_ms;
-        if is_due {
+        let difference = Difference { own: self.digest, other: header.digest, since_ms: now_ms };
+        let known = *self.exchange.difference.get_or_insert(difference);
+        let is_lasting = now_ms >= known.since_ms + after_ms;
+        let is_same = known.own == difference.own && known.other == difference.other;
+        if known.own != difference.own || is_lasting {
+            self.exchange.difference = Some(difference);
+        }
+        let has_missed = is_lasting && is_same || now_ms >= self.exchange.last_match_ms + after_ms;
+        if has_missed && now_ms >= self.exchange.next_repair_ms {
             let members = self.table.reachable_count() as u64;
             let by_size_ms = members * self.settings.repair_interval_ms_per_member;
             let wait_ms = self.jittered(by_size_ms.max(self.settings.repair_interval_ms));
--- a/crates/membership/src/protocol/membership.rs
+++ b/crates/membership/src/protocol/membership.rs
@@ -185,6 +185,11 @@
         self.health.score()
     }
 
+    /// Sets whether full exchanges use the peer address.
+    pub(crate) fn use_full_state_source(&mut self, has_source: bool) {
+        self.settings.has_full_state_source = has_source;
+    }
+
     /// The settings in use.
     pub fn settings(&self) -> &MembershipSettings {
         &self.settings
--- a/crates/membership/tests/driver.rs
+++ b/crates/membership/tests/driver.rs
@@ -9,6 +9,8 @@
 use tarragon_model::identity::InstanceId;
 use tarragon_model::member::BackendState;
 use tarragon_model::member::MemberRecord;
+use tarragon_wire::seal;
+use tarragon_wire::Channel;
 use tarragon_wire::DeploymentKey;
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
@@ -87,10 +89,13 @@
     for length in [0, 1, 40, 1_200, 1_400] {
         stranger.send_to(&vec![1; length], first.address).await.unwrap();
     }
+    let other_key = DeploymentKey::from_text("the key of another deployment");
+    let sealed = seal(&other_key, Channel::Membership, &0u8).expect("a byte is short");
+    stranger.send_to(&sealed, first.address).await.unwrap();
     // A member that joins after the strange datagrams proves that they have been read.
     let second = start(2, vec![first.address], &stop).await;
     wait_for(&mut first, |h| h.members().len() == 2).await;
-    assert_eq!(first.handle.counters().dropped(), 5);
+    assert_eq!(first.handle.counters().dropped(), 6);
     stop.cancel();
     first.task.await.unwrap();
     second.task.await.unwrap();
--- a/crates/membership/tests/simulation/mechanisms.rs
+++ b/crates/membership/tests/simulation/mechanisms.rs
@@ -220,3 +220,21 @@
         assert!(members.all(|member| member.revision == 9), "{at}");
     }
 }
+
+/// A rack behind a broken switch is forgotten by the others after ten minutes, so it must be the
+/// rack's nodes that find back.
+#[test]
+fn a_rack_cut_off_for_an_hour_comes_back() {
+    let mut cluster = cluster(72, |_| {});
+    let rack = 8..11;
+    let pairs = |node: usize| (0..24).filter(|o| !(8..11).contains(o)).map(move |o| (node, o));
+    cluster.network.blocked = rack.clone().flat_map(pairs).collect();
+    cluster.run(60_000);
+    let instance = cluster.nodes[8].instance;
+    assert_eq!(cluster.nodes[12].core.status_of(instance), Some(MemberStatus::Dead));
+    cluster.run(3_600_000);
+    assert_eq!(cluster.nodes[12].core.status_of(instance), None);
+    cluster.network.blocked.clear();
+    cluster.run(60_000);
+    assert_eq!(cluster.disagreements(), Vec::<String>::new());
+}
--- a/crates/membership/tests/simulation/schedules.rs
+++ b/crates/membership/tests/simulation/schedules.rs
@@ -136,3 +136,11 @@
     let schedule = Schedule { seed: 446_341_104, is_paged: false, duplication: 0.06, faults };
     assert_eq!(run_schedule(&schedule), Ok(()));
 }
+
+/// Two members that miss the same record match each other and must still be repaired.
+#[test]
+fn kept_schedule_of_a_join_that_two_members_miss() {
+    let (seed, faults) = (1_071_075_585, Vec::new());
+    let schedule = Schedule { seed, is_paged: true, duplication: 0.1, faults };
+    assert_eq!(run_schedule(&schedule), Ok(()));
+}
