--- a/crates/membership/src/protocol/exchange.rs
+++ b/crates/membership/src/protocol/exchange.rs
@@ -29,6 +29,14 @@
 /// Requests for one page before the exchange is given up.
 const MAX_PAGE_ATTEMPTS: u32 = 5;
 
+/// Two digests that differed.
+#[derive(Debug, Clone, Copy)]
+struct Difference {
+    own: u32,
+    other: u32,
+    since_ms: u64,
+}
+
 /// Joins and full exchanges.
 #[derive(Debug)]
 pub(super) struct Exchange {
@@ -39,12 +47,25 @@
     /// Exchange after a partition: when, and with whom.
     after_heal: Option<(u64, InstanceId)>,
     paged: Option<PagedExchange>,
+    /// When another node's digest was last equal to the own one.
+    last_match_ms: u64,
+    difference: Option<Difference>,
+    next_repair_ms: u64,
 }
 
 impl Exchange {
-    pub fn new(next_join_ms: u64, next_full_ms: u64, next_seed_ms: u64) -> Self {
-        let (has_joined, after_heal, paged) = (false, None, None);
-        Self { has_joined, next_join_ms, next_full_ms, next_seed_ms, after_heal, paged }
+    pub fn new(now_ms: u64, next_full_ms: u64, next_seed_ms: u64) -> Self {
+        Self {
+            has_joined: false,
+            next_join_ms: now_ms,
+            next_full_ms,
+            next_seed_ms,
+            after_heal: None,
+            paged: None,
+            last_match_ms: now_ms,
+            difference: None,
+            next_repair_ms: now_ms,
+        }
     }
 }
 
@@ -60,7 +81,12 @@
         let is_alone = self.table.reachable_count() == 0;
         if !self.exchange.has_joined || is_alone {
             if now_ms >= self.exchange.next_join_ms {
-                self.exchange.next_join_ms = now_ms + self.jittered(self.settings.join_retry_ms);
+                let mean_ms = if !self.exchange.has_joined {
+                    self.settings.join_retry_ms
+                } else {
+                    self.settings.reprobe_interval_ms
+                };
+                self.exchange.next_join_ms = now_ms + self.jittered(mean_ms);
                 self.contact_seeds(SEEDS_ASKED);
             }
             return;
@@ -98,6 +124,34 @@
         }
     }
 
+    /// Compares digests after a contact, and makes a full exchange if updates have been missed.
+    ///
+    /// That is so if none matched for long. It is also so if both digests were seen before, long
+    /// enough ago for every update to have arrived: other members may have missed the same update
+    /// and match.
+    pub(super) fn compare_digest(&mut self, header: &Header, now_ms: u64) {
+        let after_ms = self.settings.repair_after_ms;
+        if header.digest == self.digest {
+            self.exchange.last_match_ms = now_ms;
+            return;
+        }
+        let difference = Difference { own: self.digest, other: header.digest, since_ms: now_ms };
+        let known = *self.exchange.difference.get_or_insert(difference);
+        let is_lasting = now_ms >= known.since_ms + after_ms;
+        let is_same = known.own == difference.own && known.other == difference.other;
+        if known.own != difference.own || is_lasting {
+            self.exchange.difference = Some(difference);
+        }
+        let has_missed = is_lasting && is_same || now_ms >= self.exchange.last_match_ms + after_ms;
+        if has_missed && now_ms >= self.exchange.next_repair_ms {
+            let members = self.table.reachable_count() as u64;
+            let by_size_ms = members * self.settings.repair_interval_ms_per_member;
+            let wait_ms = self.jittered(by_size_ms.max(self.settings.repair_interval_ms));
+            self.exchange.next_repair_ms = now_ms + wait_ms;
+            self.start_exchange(header.instance, now_ms);
+        }
+    }
+
     fn contact_seeds(&mut self, count: usize) {
         let mut seeds: Vec<SocketAddr> = self.seeds().collect();
         for _ in 0..count.min(seeds.len()) {
@@ -137,7 +191,8 @@
     }
 
     fn ask_page(&mut self, peer: SocketAddr, sequence: u32, after: u64) {
-        let updates = if after == 0 { vec![Update::Full(self.own.clone())] } else { Vec::new() };
+        let updates =
+            if after == 0 { vec![Update::Full(Box::new(self.own.clone()))] } else { Vec::new() };
         self.send(peer, Body::Pull { sequence, after }, updates);
     }
 
@@ -163,14 +218,14 @@
         let mut free_bytes = UPDATES_BUDGET_BYTES;
         let mut next = None;
         if after == 0 {
-            let own = Update::Full(self.own.clone());
+            let own = Update::Full(Box::new(self.own.clone()));
             free_bytes -= own.size_bytes().min(free_bytes);
             updates.push(own);
         }
         let mut last = after;
         for entry in self.table.after(InstanceId(after)) {
             if entry.status.is_reachable() {
-                let update = Update::Full(entry.record.clone());
+                let update = Update::Full(Box::new(entry.record.clone()));
                 let size_bytes = update.size_bytes();
                 if size_bytes > free_bytes {
                     next = Some(last);
--- a/crates/membership/src/protocol/membership.rs
+++ b/crates/membership/src/protocol/membership.rs
@@ -16,6 +16,7 @@
 use crate::protocol::probing::Probe;
 use crate::protocol::probing::Relay;
 use crate::protocol::spreading::Spreading;
+use crate::protocol::table::Entry;
 use crate::protocol::table::MemberTable;
 use crate::protocol::update_queue::Urgency;
 use crate::protocol::Action;
@@ -47,6 +48,9 @@
     pub(super) counts: Counts,
     highest_revision: u64,
     sequence: u32,
+    /// Hash over the reachable members and their versions, and the own part of it.
+    pub(super) digest: u32,
+    own_digest_part: u32,
     last_event_ms: u64,
     next_forget_ms: u64,
     pub(super) actions: Vec<Action>,
@@ -63,6 +67,8 @@
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let health =
             LocalHealth::new(settings.max_health_score, settings.mechanisms.has_local_health);
+        // A late answer to an earlier instance must not match a probe of this one.
+        let sequence = rng.random();
         let mut within = |period_ms: u64| now_ms + rng.random_range(0..period_ms.max(1));
         let next_probe_ms = within(settings.probe_interval_ms);
         let next_reprobe_ms = within(settings.reprobe_interval_ms);
@@ -72,6 +78,7 @@
             within(settings.full_exchange_interval_ms) + settings.join_retry_ms,
             within(settings.seed_contact_interval_ms) + settings.join_retry_ms,
         );
+        let own_digest_part = hash(&own);
         Self {
             rng,
             table: MemberTable::new(&own.data_centre),
@@ -86,7 +93,9 @@
             next_reprobe_ms,
             health,
             counts: Counts::default(),
-            sequence: 0,
+            sequence,
+            digest: own_digest_part,
+            own_digest_part,
             last_event_ms: now_ms,
             next_forget_ms: now_ms,
             actions: Vec::new(),
@@ -176,6 +185,11 @@
         self.health.score()
     }
 
+    /// Sets whether full exchanges use the peer address.
+    pub(crate) fn use_full_state_source(&mut self, has_source: bool) {
+        self.settings.has_full_state_source = has_source;
+    }
+
     /// The settings in use.
     pub fn settings(&self) -> &MembershipSettings {
         &self.settings
@@ -223,17 +237,27 @@
         }
         self.learn_revision(header.highest_revision.max(header.revision), now_ms);
         self.merge_member_revision(header.instance, header.revision);
+        let is_accused = updates.iter().any(|update| self.is_accusation(update));
         if matches!(body, Body::Page { .. }) {
             self.merge_page(updates, now_ms);
         } else {
             updates.into_iter().for_each(|update| self.merge(update, now_ms));
         }
+        if matches!(body, Body::Ping { .. } | Body::Ack { .. }) {
+            self.compare_digest(&header, now_ms);
+        }
+        if is_accused && !matches!(body, Body::Ping { .. }) {
+            // The sender may have missed a refutation that ended all other accusations.
+            self.send(from, Body::Gossip, vec![Update::Full(Box::new(self.own.clone()))]);
+        }
         match body {
-            Body::Ping { sequence, target } => self.answer_ping(from, &header, sequence, target),
+            Body::Ping { sequence, target } => {
+                self.answer_ping(from, &header, sequence, target, is_accused);
+            }
             Body::PingRequest { sequence, target, address } => {
                 self.relay_ping(from, sequence, target, address, now_ms);
             }
-            Body::Ack { sequence, responder } => self.take_ack(sequence, responder, now_ms),
+            Body::Ack { sequence, responder } => self.take_ack(sequence, responder),
             Body::Nack { sequence } => self.take_nack(sequence),
             Body::Gossip => {}
             Body::Pull { sequence, after } => self.answer_pull(from, sequence, after),
@@ -241,6 +265,16 @@
         }
     }
 
+    fn is_accusation(&self, update: &Update) -> bool {
+        let is_about_own = update.instance() == self.own.instance;
+        is_about_own
+            && self.settings.mechanisms.has_refutation
+            && matches!(
+                update,
+                Update::Suspect { .. } | Update::Unreachable { .. } | Update::Dead { .. }
+            )
+    }
+
     fn change_own(&mut self, service: String, state: BackendState, revision: u64, now_ms: u64) {
         if self.has_left {
             return;
@@ -251,6 +285,7 @@
         if is_revision_change {
             self.own.revision = revision;
             self.learn_revision(revision, now_ms);
+            self.spreading.revisions.push(self.own.instance, Urgency::State, false);
         }
         if is_state_change {
             self.own.service = service;
@@ -318,17 +353,38 @@
             instance: self.own.instance,
             revision: self.own.revision,
             highest_revision: self.highest_revision,
+            digest: self.digest,
         };
         self.actions.push(Action::Send(to, Datagram { header, body, updates }));
     }
 
+    pub(super) fn note_removal(&mut self, entry: Entry) {
+        self.digest ^= entry.digest_part;
+        self.changed.push(Member { record: entry.record, status: entry.status });
+    }
+
     /// Adds a member to the list of changes of this step.
     pub(super) fn note_change(&mut self, id: InstanceId) {
         if id == self.own.instance {
+            let part = hash(&self.own);
+            self.digest ^= self.own_digest_part ^ part;
+            self.own_digest_part = part;
             let status = if self.has_left { MemberStatus::Left } else { MemberStatus::Alive };
             self.changed.push(Member { record: self.own.clone(), status });
-        } else if let Some(entry) = self.table.entry(id) {
+        } else if let Some(entry) = self.table.entry_mut(id) {
+            let part = if entry.status.is_reachable() { hash(&entry.record) } else { 0 };
+            self.digest ^= entry.digest_part ^ part;
+            entry.digest_part = part;
             self.changed.push(Member { record: entry.record.clone(), status: entry.status });
         }
     }
 }
+
+/// Hash of one member for the digest (the finalizer of SplitMix64).
+fn hash(record: &MemberRecord) -> u32 {
+    let mut bits =
+        record.instance.0 ^ u64::from(record.version).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    (bits ^ (bits >> 31)) as u32
+}
--- a/crates/membership/src/protocol/merging.rs
+++ b/crates/membership/src/protocol/merging.rs
@@ -6,6 +6,7 @@
 use crate::message::service_tag;
 use crate::message::Update;
 use crate::message::FINAL_VERSION;
+use crate::protocol::suspicion::min_timeout_ms;
 use crate::protocol::suspicion::Suspicion;
 use crate::protocol::table::Tombstone;
 use crate::protocol::update_queue::Urgency;
@@ -38,11 +39,13 @@
         }
         match update {
             Update::Full(record) => {
-                if self.merge_record(record, now_ms) {
+                self.learn_revision(record.revision, now_ms);
+                if self.merge_record(*record, now_ms) {
                     self.spreading.queue.push(id, Urgency::State, true);
                 }
             }
             Update::Brief { instance, version, state, revision, service_tag } => {
+                self.learn_revision(revision, now_ms);
                 let brief = Brief { instance, version, state, revision, service_tag };
                 self.merge_brief(&brief, now_ms);
             }
@@ -53,6 +56,10 @@
             Update::Dead { version: FINAL_VERSION, .. } => self.bury(id, false, now_ms),
             Update::Dead { version, .. } => self.lose(id, MemberStatus::Dead, version, now_ms),
             Update::Left { .. } => self.bury(id, true, now_ms),
+            Update::Revision { revision, .. } => {
+                self.learn_revision(revision, now_ms);
+                self.merge_member_revision(id, revision);
+            }
             Update::Unknown { .. } => {}
         }
     }
@@ -69,7 +76,7 @@
                 self.spreading.queue.push(self.own.instance, Urgency::State, true);
                 return;
             }
-            Update::Left { .. } => return,
+            Update::Left { .. } | Update::Revision { .. } => return,
         };
         let is_behind =
             if is_accusation { claimed >= self.own.version } else { claimed > self.own.version };
@@ -101,7 +108,7 @@
     /// Takes one page of a full exchange over UDP; nothing of it is passed on.
     pub(super) fn merge_page(&mut self, updates: Vec<Update>, now_ms: u64) {
         let records = updates.into_iter().filter_map(|update| match update {
-            Update::Full(record) => Some(record),
+            Update::Full(record) => Some(*record),
             _ => None,
         });
         self.merge_records(records.collect(), now_ms);
@@ -113,7 +120,7 @@
             let id = record.instance;
             self.learn_revision(record.revision, now_ms);
             if id == self.own.instance {
-                self.merge_own(&Update::Full(record), now_ms);
+                self.merge_own(&Update::Full(Box::new(record)), now_ms);
             } else if self.table.tombstones.contains_key(&id) {
                 self.counts.stale_updates += 1;
             } else if self.merge_record(record, now_ms) {
@@ -191,13 +198,14 @@
         self.note_change(id);
     }
 
-    /// Notes the revision that a member has reached. It travels with headers and full exchanges
-    /// only: 2,200 members that each announced each of 1,100 daily revisions would use up the
-    /// traffic budget.
+    /// Notes the revision that a member has reached and passes it on. Such news have a queue of
+    /// their own: 2,200 members that announced each of 1,100 daily revisions as changes of their
+    /// records would use up the traffic budget and delay drains.
     pub(super) fn merge_member_revision(&mut self, id: InstanceId, revision: u64) {
         if let Some(entry) = self.table.entry_mut(id) {
             if revision > entry.record.revision {
                 entry.record.revision = revision;
+                self.spreading.revisions.push(id, Urgency::State, false);
                 self.note_change(id);
             }
         }
@@ -251,8 +259,9 @@
             return;
         }
         let status = if has_left { MemberStatus::Left } else { MemberStatus::Dead };
-        if let Some(entry) = self.table.remove(id) {
-            self.changed.push(crate::Member { record: entry.record, status });
+        if let Some(mut entry) = self.table.remove(id) {
+            entry.status = status;
+            self.note_removal(entry);
         }
         let has_room = self.table.tombstones.len() < self.settings.max_members;
         if self.settings.mechanisms.has_tombstones && has_room {
@@ -265,10 +274,12 @@
     pub(super) fn expire_suspicions(&mut self, now_ms: u64) {
         let members = self.table.reachable_count() + 1;
         let settings = &self.settings;
+        let min_ms = min_timeout_ms(members, settings);
         let suspects = self.table.suspects.iter().filter_map(|id| self.table.entry(*id));
         let expired: Vec<(InstanceId, u32)> = suspects
             .filter(|e| {
-                e.suspicion.as_ref().is_some_and(|s| s.has_expired(members, settings, now_ms))
+                let suspicion = e.suspicion.as_ref();
+                suspicion.is_some_and(|s| s.has_expired(min_ms, members, settings, now_ms))
             })
             .map(|e| (e.record.instance, e.status_version))
             .collect();
--- a/crates/membership/src/protocol/probing.rs
+++ b/crates/membership/src/protocol/probing.rs
@@ -155,9 +155,10 @@
 
     fn fail_probe(&mut self, probe: &Probe, now_ms: u64) {
         self.counts.failed_probes += 1;
-        // Helpers that sent not even a nack point to a fault of the own node or its network.
-        let is_own_fault = probe.helpers > 0 && probe.nacks < probe.helpers;
-        self.health.worsen(if is_own_fault { probe.helpers - probe.nacks } else { 1 });
+        // Helpers that sent not even a nack point to a fault of the own node or its network. If all
+        // sent one, the own node is well and the target is not.
+        let points = if probe.helpers == 0 { 1 } else { probe.helpers.saturating_sub(probe.nacks) };
+        self.health.worsen(points);
         let Some(entry) = self.table.entry(probe.target) else { return };
         if entry.status.is_reachable() {
             let version = entry.status_version;
@@ -186,23 +187,20 @@
         header: &Header,
         sequence: u32,
         target: InstanceId,
+        is_accused: bool,
     ) {
         let mut directed = Vec::new();
         if target != self.own.instance {
             directed.push(Update::Dead { instance: target, version: FINAL_VERSION });
-            directed.push(Update::Full(self.own.clone()));
-        } else if self.has_news_of_own() {
-            directed.push(Update::brief(&self.own));
+        }
+        if target != self.own.instance || is_accused {
+            directed.push(Update::Full(Box::new(self.own.clone())));
         }
         directed.extend(self.belief_about(header.instance));
         let updates = self.piggyback(directed);
         self.send(from, Body::Ack { sequence, responder: self.own.instance }, updates);
     }
 
-    fn has_news_of_own(&self) -> bool {
-        self.spreading.queue.iter().any(|(id, _)| id == self.own.instance)
-    }
-
     /// What a sender must hear about itself: that it is unknown, suspected or lost here.
     fn belief_about(&self, sender: InstanceId) -> Option<Update> {
         match self.status_of(sender) {
@@ -256,24 +254,27 @@
         }
     }
 
-    /// Takes an answer to an own probe, or passes one on to the member that asked for it.
-    pub(super) fn take_ack(&mut self, sequence: u32, responder: InstanceId, now_ms: u64) {
-        if let Some(at) = self.probes.iter().position(|probe| probe.sequence == sequence) {
-            let probe = self.probes.remove(at);
-            self.health.improve();
-            if responder != probe.target {
-                self.bury(probe.target, false, now_ms);
+    /// Takes an answer to an own probe, or passes one on to the member that asked for it. An answer
+    /// by another instance counts only if it brought the news that the target is gone.
+    pub(super) fn take_ack(&mut self, sequence: u32, responder: InstanceId) {
+        let is_gone = |id: InstanceId| self.table.entry(id).is_none();
+        let is_answer = |target: InstanceId| responder == target || is_gone(target);
+        if let Some(at) = self.probes.iter().position(|p| p.sequence == sequence) {
+            if is_answer(self.probes[at].target) {
+                self.probes.swap_remove(at);
+                self.health.improve();
             }
-            return;
-        }
-        if let Some(at) = self.relays.iter().position(|relay| relay.own_sequence == sequence) {
-            let relay = self.relays.remove(at);
-            let mut updates = Vec::new();
-            if responder != relay.target {
-                updates.push(Update::Dead { instance: relay.target, version: FINAL_VERSION });
-                updates.extend(self.update_of(responder, true));
+        } else if let Some(at) = self.relays.iter().position(|r| r.own_sequence == sequence) {
+            if is_answer(self.relays[at].target) {
+                let relay = self.relays.swap_remove(at);
+                let mut updates = Vec::new();
+                if responder != relay.target {
+                    updates.extend(self.update_of(relay.target, false));
+                    updates.extend(self.update_of(responder, true));
+                }
+                let body = Body::Ack { sequence: relay.sequence, responder };
+                self.send(relay.asked_by, body, updates);
             }
-            self.send(relay.asked_by, Body::Ack { sequence: relay.sequence, responder }, updates);
         }
     }
 
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -38,6 +38,9 @@
     pub gossip_fanout: usize,
     /// Transmissions of one update, per decade of the cluster size.
     pub retransmit_factor: u32,
+    /// Transmissions of the news that a member has reached a revision. They are few, because all
+    /// members send such news after each release note.
+    pub revision_transmits: u32,
     /// Rate that gossip may use, which bounds the burst after a partition.
     pub gossip_bytes_per_s: u64,
     /// Gossip that may be sent at once after a quiet period.
@@ -50,6 +53,13 @@
     pub unreachable_keep_ms: u64,
     /// Mean period of full exchanges.
     pub full_exchange_interval_ms: u64,
+    /// A node whose digest matched no other one for this time makes a full exchange.
+    pub repair_after_ms: u64,
+    /// Shortest mean time between two such exchanges.
+    pub repair_interval_ms: u64,
+    /// Mean time between two such exchanges per reachable member, which bounds their traffic in
+    /// large clusters: a record is about 100 bytes, so 100 ms are 1,000 bytes/s.
+    pub repair_interval_ms_per_member: u64,
     /// A full exchange after a partition starts at a random time within this period.
     pub heal_jitter_ms: u64,
     /// Period at which a join is tried again.
@@ -110,12 +120,16 @@
             gossip_interval_ms: 200,
             gossip_fanout: 3,
             retransmit_factor: 4,
+            revision_transmits: 6,
             gossip_bytes_per_s: 6_000,
             gossip_burst_bytes: 18_000,
             reprobe_interval_ms: 5_000,
             tombstone_ms: 600_000,
             unreachable_keep_ms: 24 * 3_600_000,
             full_exchange_interval_ms: 120_000,
+            repair_after_ms: 8_000,
+            repair_interval_ms: 10_000,
+            repair_interval_ms_per_member: 100,
             heal_jitter_ms: 30_000,
             join_retry_ms: 1_000,
             seed_contact_interval_ms: 60_000,
