Test failures of nodes and control replicas with real processes

Cause: nothing tested the daemon as a process; kills, pauses and lost disks were covered only in the deterministic cores.

Change: tests/processes starts the workspace's own binary, each node on a loopback address of its own with ports found by binding to port 0, so that an outgoing connection (source 127.0.0.1) never takes a port that a restarted node needs. Cases: a node killed, a node stopped with SIGTERM, the leader killed during a stream of notes, lost answers, racing operators, all replicas and all nodes restarted, the leader paused, a data folder removed.

Ruled out: one fixed port range for all nodes; two runs at once collide.

--- /dev/null
+++ b/crates/tarragond/tests/processes/main.rs
@@ -0,0 +1,11 @@
+//! Failure tests with real processes: nodes run as processes of the workspace's own binary on
+//! loopback, and fake backend servers run in the test.
+
+// Helpers of tests may unwrap like tests; the lint's exception covers only test functions.
+#![allow(clippy::unwrap_used)]
+
+mod leader_loss;
+mod lost_disk;
+mod paused_leader;
+mod plain_nodes;
+mod support;
--- /dev/null
+++ b/crates/tarragond/tests/processes/support/cluster.rs
@@ -0,0 +1,151 @@
+use std::net::SocketAddr;
+use std::ops::Index;
+use std::ops::IndexMut;
+
+use serde_json::json;
+use serde_json::Value;
+use tempfile::TempDir;
+use tokio::net::TcpStream;
+
+use crate::support::addresses::Addresses;
+use crate::support::first_note;
+use crate::support::until;
+use crate::support::Daemon;
+use crate::support::Operator;
+
+const DEPLOYMENT_KEY: &str = "deployment key of the process tests";
+
+const OPERATOR_KEY: &str = "operator key of the process tests";
+
+/// Nodes that form a deployment, the control replicas first.
+pub struct Cluster {
+    pub nodes: Vec<Daemon>,
+    pub operator: Operator,
+}
+
+impl Cluster {
+    /// Prepares nodes; a name that starts with `replica` is a control replica. The part of a name
+    /// after an `@` is its data centre, `north` unless given.
+    pub fn new(names: &[&str]) -> Self {
+        let all: Vec<(&str, Addresses)> =
+            names.iter().map(|name| (*name, Addresses::reserve())).collect();
+        let replicas: Vec<Value> = all
+            .iter()
+            .filter(|(name, _)| is_replica(name))
+            .map(|(name, at)| {
+                let name = node_name(name);
+                json!({"node_name": name, "control_address": at.control,
+                       "replica_address": at.replica})
+            })
+            .collect();
+        let seeds: Vec<_> = all.iter().map(|(_, at)| at.gossip).collect();
+        let node = |(name, at): &(&str, Addresses)| {
+            let folder = TempDir::new().unwrap();
+            let settings = settings(name, at, &folder, (&replicas, &seeds));
+            Daemon::new(node_name(name), *at, settings, folder)
+        };
+        let nodes = all.iter().map(node).collect();
+        Self { nodes, operator: Operator::new(Some(OPERATOR_KEY)) }
+    }
+
+    /// Starts every node, the replicated log on all replicas, and submits the first note.
+    pub async fn start(&mut self) {
+        for node in &mut self.nodes {
+            node.start();
+        }
+        for node in &self.nodes {
+            let what = format!("{} answers", node.name);
+            until(&what, async || self.operator.status(node).await).await;
+        }
+        self.operator.init(&self.nodes[0]).await;
+        for at in 1..self.replicas().count() {
+            self.operator.add(&self.nodes[0], &self.nodes[at].name).await;
+        }
+        self.operator.accept(&self.nodes[0], &first_note()).await;
+        self.until_in_force(1).await;
+        for node in &self.nodes {
+            self.until_serving(node).await;
+        }
+    }
+
+    /// Waits until a node serves callers.
+    pub async fn until_serving(&self, node: &Daemon) {
+        let what = format!("{} serves callers", node.name);
+        until(&what, async || TcpStream::connect(node.at.caller).await.ok()).await;
+    }
+
+    /// The control replicas.
+    pub fn replicas(&self) -> impl Iterator<Item = &Daemon> {
+        self.nodes.iter().filter(|node| is_replica(&node.name))
+    }
+
+    /// Nodes whose process runs.
+    pub fn running(&self) -> impl Iterator<Item = &Daemon> {
+        self.nodes.iter().filter(|node| node.is_running())
+    }
+
+    /// Waits until a revision is in force at every running node.
+    pub async fn until_in_force(&self, revision: u64) {
+        for node in self.running() {
+            let what = format!("revision {revision} at {}", node.name);
+            let is_reached = async || {
+                let status = self.operator.status(node).await?;
+                (status.revision >= revision).then_some(())
+            };
+            until(&what, is_reached).await;
+        }
+    }
+}
+
+impl Index<&str> for Cluster {
+    type Output = Daemon;
+
+    fn index(&self, name: &str) -> &Daemon {
+        self.nodes.iter().find(|node| node.name == name).expect("the node exists")
+    }
+}
+
+impl IndexMut<&str> for Cluster {
+    fn index_mut(&mut self, name: &str) -> &mut Daemon {
+        self.nodes.iter_mut().find(|node| node.name == name).expect("the node exists")
+    }
+}
+
+fn is_replica(name: &str) -> bool {
+    name.starts_with("replica")
+}
+
+fn node_name(name: &str) -> &str {
+    name.split('@').next().expect("a split has a first part")
+}
+
+fn settings(
+    name: &str,
+    at: &Addresses,
+    folder: &TempDir,
+    (replicas, seeds): (&[Value], &[SocketAddr]),
+) -> Value {
+    let key_file = |file: &str, text: &str| {
+        let path = folder.path().join(file);
+        std::fs::write(&path, text).unwrap();
+        path
+    };
+    let mut settings = json!({
+        "node_name": node_name(name),
+        "data_centre": name.split_once('@').map_or("north", |(_, data_centre)| data_centre),
+        "region": "south",
+        "listen": {
+            "caller_address": at.caller, "exit_address": at.exit, "peer_address": at.peer,
+            "gossip_address": at.gossip, "control_address": at.control,
+        },
+        "seeds": seeds,
+        "control_replicas": replicas,
+        "deployment_key_file": key_file("deployment.key", DEPLOYMENT_KEY),
+        "operator_key_file": key_file("operator.key", OPERATOR_KEY),
+    });
+    if is_replica(name) {
+        settings["listen"]["replica_address"] = json!(at.replica);
+        settings["data_dir"] = json!(folder.path().join("data"));
+    }
+    settings
+}
--- /dev/null
+++ b/crates/tarragond/tests/processes/support/mod.rs
@@ -0,0 +1,20 @@
+//! Nodes as processes, fake backend servers and clients for the tests.
+
+mod addresses;
+mod backend;
+mod caller;
+mod cluster;
+mod daemon;
+mod notes;
+mod operator;
+mod wait;
+
+pub use backend::Backend;
+pub use caller::call;
+pub use caller::Call;
+pub use cluster::Cluster;
+pub use daemon::Daemon;
+pub use notes::first_note;
+pub use notes::next_note;
+pub use operator::Operator;
+pub use wait::until;
