Serve callers only after the log confirmed the newest revision

Cause: a restarted node took the highest revision that members told it. When all nodes had died at once, every member told 0, so the node served callers with an empty catalogue although revision 5 had been accepted and in force.

Change: readiness also asks the control replicas for their revision, confirmed by a majority (ControlQuery::Revision), and waits for the copy to reach it. If the members know a revision, the wait for the log is at most 2 s, so that a data centre that is cut off still starts soon; if they know none, the limit stays 15 s.

Ruled out: storing the revision on plain nodes, most of which have no disk; trusting the restored log of a replica, whose last entries may not be committed; reading the list of notes, which grows with every note.

--- a/crates/tarragond/src/app/node.rs
+++ b/crates/tarragond/src/app/node.rs
@@ -32,7 +32,10 @@
 use crate::conf::Settings;
 use crate::control::api::ApiContext;
 use crate::control::api::ControlApi;
+use crate::control::ControlAnswer;
 use crate::control::ControlLog;
+use crate::control::ControlQuery;
+use crate::control::ControlRequest;
 use crate::control::OperatorKey;
 use crate::control::RemoteLog;
 use crate::datapath::DataPath;
@@ -57,6 +60,13 @@
 /// goes on with what it has.
 const READY_TIMEOUT_MS: u64 = 15_000;
 
+/// Longest wait for the log to confirm the newest revision if the members know one, in ms. It
+/// bounds the delay in a data centre that is cut off from the log.
+const CONFIRM_TIMEOUT_MS: u64 = 2_000;
+
+/// Pause after the log could not tell its revision, in ms.
+const CONFIRM_PAUSE_MS: u64 = 100;
+
 /// Time between the start of the drain and the end of listening, in ms; membership needs about a
 /// second to tell the other nodes.
 const DRAIN_NOTICE_MS: u64 = 1_500;
@@ -78,6 +88,7 @@
     membership: Arc<MembershipService>,
     copy: watch::Receiver<Arc<Catalogue>>,
     wanted: watch::Receiver<u64>,
+    log: Arc<dyn ControlLog>,
     gate: Arc<LateGate>,
     environment: Environment,
     control_services: Vec<Arc<dyn Service>>,
@@ -162,7 +173,7 @@
             key: deployment_key,
             directory,
             backend: Arc::clone(&announcements) as _,
-            claims: Arc::new(LogClaims::new(log, settings.limits.key_retention_s)),
+            claims: Arc::new(LogClaims::new(Arc::clone(&log), settings.limits.key_retention_s)),
             metrics: metrics(&settings)?,
             extension: None,
         };
@@ -172,6 +183,7 @@
             membership,
             copy,
             wanted,
+            log,
             gate,
             environment,
             control_services,
@@ -230,19 +242,26 @@
     }
 
     /// Waits until the node has joined and its catalogue has reached every revision it heard of.
+    ///
+    /// The members alone are not enough: after a failure of a whole deployment they have all
+    /// restarted and know no revision, so the node waits for the log to tell it.
     async fn ready(&self) {
-        let mut handle = self.membership.handle().clone();
-        let mut copy = self.copy.clone();
         let caught_up = async {
+            let mut handle = self.membership.handle().clone();
             while !handle.has_joined() {
                 if !handle.changed().await {
                     return;
                 }
             }
-            while copy.borrow_and_update().revision() < *self.wanted.borrow() {
-                if copy.changed().await.is_err() {
-                    return;
-                }
+            self.reached_members().await;
+            if self.copy.borrow().revision() == 0 {
+                self.reached_log().await;
+                return;
+            }
+            let limit = Duration::from_millis(CONFIRM_TIMEOUT_MS);
+            if tokio::time::timeout(limit, self.reached_log()).await.is_err() {
+                warn!("kernel: the log did not confirm the newest revision that members know");
+                self.reached_members().await;
             }
         };
         let limit = Duration::from_millis(READY_TIMEOUT_MS);
@@ -250,6 +269,39 @@
             warn!("kernel: the newest revision was not reached within {READY_TIMEOUT_MS} ms");
         }
     }
+
+    /// Waits until the catalogue has reached every revision that members were heard to have.
+    async fn reached_members(&self) {
+        loop {
+            let wanted = *self.wanted.borrow();
+            if self.copy.borrow().revision() >= wanted {
+                return;
+            }
+            self.reached(wanted).await;
+        }
+    }
+
+    /// Waits until the catalogue has reached a revision.
+    async fn reached(&self, revision: u64) {
+        let mut copy = self.copy.clone();
+        let is_reached = copy.wait_for(|catalogue| catalogue.revision() >= revision).await.is_ok();
+        if !is_reached {
+            // The channel closes only when the node stops, which ends this wait.
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Waits until the catalogue has reached the revision that a majority of the control replicas
+    /// confirms as the newest.
+    async fn reached_log(&self) {
+        let read = ControlRequest::Read(ControlQuery::Revision);
+        loop {
+            if let Ok(ControlAnswer::Revision(revision)) = self.log.request(&read).await {
+                return self.reached(revision).await;
+            }
+            tokio::time::sleep(Duration::from_millis(CONFIRM_PAUSE_MS)).await;
+        }
+    }
 }
 
 fn metrics(settings: &Settings) -> Result<Arc<dyn Metrics>, Report<AppError>> {
--- a/crates/tarragond/src/control/control_state.rs
+++ b/crates/tarragond/src/control/control_state.rs
@@ -41,6 +41,8 @@
 pub enum ControlQuery {
     /// The accepted release notes.
     Notes,
+    /// The revision of the catalogue.
+    Revision,
 }
 
 /// Answer to a command or a question.
@@ -54,6 +56,8 @@
     Notes(NoteList),
     /// The replicas are as asked for.
     ReplicasChanged,
+    /// The revision of the catalogue.
+    Revision(u64),
 }
 
 /// The state machine behind the replicated log.
@@ -101,6 +105,7 @@
                     notes: notes.collect(),
                 })
             }
+            ControlQuery::Revision => ControlAnswer::Revision(self.catalogue.revision()),
         }
     }
 
