Let a node advertise other addresses than it listens on

Cause: other nodes were told exactly the addresses listened on, so a host behind an address translation, or a relay in a test, could not be reached.

Change: optional section `advertise` in the settings for the peer, gossip, control and replica addresses; the membership record carries them. The check that told addresses are reachable ones now covers the control and replica addresses too, which other nodes are told as well.

Ruled out: one address per peer in each node's settings; membership replaces configured addresses as soon as a node has joined.

--- a/crates/tarragond/src/app/node.rs
+++ b/crates/tarragond/src/app/node.rs
@@ -115,6 +115,7 @@
         let (replica, own_log) = replica.map_or((None, None), |(r, l)| (Some(r), Some(l)));
         let membership = MembershipService::bind(MembershipServiceParts {
             own: own_record(&settings, instance),
+            listen_address: settings.listen.gossip_address,
             settings: MembershipSettings {
                 seeds: settings.seeds.clone(),
                 has_full_state_source: true,
@@ -352,16 +353,16 @@
 }
 
 fn own_record(settings: &Settings, instance: InstanceId) -> MemberRecord {
-    let listen = &settings.listen;
+    let (listen, advertise) = (&settings.listen, &settings.advertise);
     MemberRecord {
         node: settings.node_name.clone(),
         instance,
         data_centre: settings.data_centre.clone(),
         region: settings.region.clone(),
-        gossip_address: listen.gossip_address,
-        peer_address: listen.peer_address,
-        control_address: listen.control_address,
-        replica_address: listen.replica_address,
+        gossip_address: advertise.gossip_address.unwrap_or(listen.gossip_address),
+        peer_address: advertise.peer_address.unwrap_or(listen.peer_address),
+        control_address: advertise.control_address.unwrap_or(listen.control_address),
+        replica_address: listen.replica_address.map(|a| advertise.replica_address.unwrap_or(a)),
         service: String::new(),
         state: BackendState::Absent,
         version: 1,
--- a/crates/tarragond/src/conf/check.rs
+++ b/crates/tarragond/src/conf/check.rs
@@ -43,14 +43,26 @@
             mistakes.push(Mistake::new(path, format!("{address} is used by two listeners")));
         }
     }
+    let advertise = &settings.advertise;
     let told_to_others = [
-        ("$.listen.peer_address", listen.peer_address),
-        ("$.listen.gossip_address", listen.gossip_address),
+        ("peer_address", Some(listen.peer_address), advertise.peer_address),
+        ("gossip_address", Some(listen.gossip_address), advertise.gossip_address),
+        ("control_address", Some(listen.control_address), advertise.control_address),
+        ("replica_address", listen.replica_address, advertise.replica_address),
     ];
-    for (path, address) in told_to_others {
+    for (name, listened, advertised) in told_to_others {
+        let Some(listened) = listened else {
+            if advertised.is_some() {
+                let message = format!("is of use only with listen.{name}");
+                mistakes.push(Mistake::new(format!("$.advertise.{name}"), message));
+            }
+            continue;
+        };
+        let section = if advertised.is_some() { "advertise" } else { "listen" };
+        let address = advertised.unwrap_or(listened);
         if address.ip().is_unspecified() || address.port() == 0 {
             let message = "must be an address that other nodes can reach";
-            mistakes.push(Mistake::new(path, message));
+            mistakes.push(Mistake::new(format!("$.{section}.{name}"), message));
         }
     }
 }
--- a/crates/tarragond/src/conf/settings.rs
+++ b/crates/tarragond/src/conf/settings.rs
@@ -17,6 +17,9 @@
     pub region: String,
     /// Addresses to listen on.
     pub listen: Listen,
+    /// Addresses at which other nodes reach this one, where they differ from `listen`.
+    #[serde(default)]
+    pub advertise: Advertise,
     /// Membership addresses of some other nodes, to join by.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -40,7 +43,8 @@
     pub limits: Limits,
 }
 
-/// Addresses that a node listens on; other nodes reach it at the same addresses.
+/// Addresses that a node listens on; other nodes reach it at the same addresses unless
+/// [`Advertise`] names others.
 #[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
@@ -59,6 +63,21 @@
     pub replica_address: Option<SocketAddr>,
 }
 
+/// Addresses that other nodes are told instead of the ones listened on, for a host behind an address
+/// translation or a relay.
+#[derive(Debug, Clone, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Advertise {
+    /// For `listen.peer_address`.
+    pub peer_address: Option<SocketAddr>,
+    /// For `listen.gossip_address`.
+    pub gossip_address: Option<SocketAddr>,
+    /// For `listen.control_address`.
+    pub control_address: Option<SocketAddr>,
+    /// For `listen.replica_address`.
+    pub replica_address: Option<SocketAddr>,
+}
+
 /// A control replica as the settings of every node name it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
--- a/crates/tarragond/src/members/membership_service.rs
+++ b/crates/tarragond/src/members/membership_service.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,6 +29,8 @@
 pub struct MembershipServiceParts {
     /// Record of this node.
     pub own: MemberRecord,
+    /// UDP address to listen on; the record may name another one.
+    pub listen_address: SocketAddr,
     /// Settings of the protocol.
     pub settings: MembershipSettings,
     /// Secret of the nodes.
@@ -58,7 +61,7 @@
     /// # Errors
     /// The address cannot be bound.
     pub async fn bind(parts: MembershipServiceParts) -> Result<Self, Report<KernelError>> {
-        let address = parts.own.gossip_address;
+        let address = parts.listen_address;
         let socket = UdpSocket::bind(address).await.change_context_lazy(|| {
             KernelError::ServiceFailed(format!("membership at {address}"))
         })?;
