Test silent partitions of a replica and of a data centre

Change: a relay in the test stands between all nodes (advertised addresses). It drops datagrams between two sides and holds streams, which arrive late after healing. All streams come from 127.0.0.1, so the relay finds the sending node by the connection table and the open files of the test's own processes.

Ruled out: resetting connections at the cut, which nodes notice at once; a second advertised address per pair of nodes, which membership cannot carry.

--- a/crates/tarragond/tests/processes/support/caller.rs
+++ b/crates/tarragond/tests/processes/support/caller.rs
@@ -28,6 +28,11 @@
         Self { method: "GET", path: path.into(), key: None }
     }
 
+    /// A non-idempotent call with a key.
+    pub fn weigh(path: &str, key: &str) -> Self {
+        Self { method: "POST", path: path.into(), key: Some(key.into()) }
+    }
+
     /// Sends the call through a node.
     ///
     /// # Errors
@@ -85,3 +90,11 @@
 pub async fn call(node: &Daemon, path: &str) -> Reply {
     Call::view(path).answered(node).await
 }
+
+/// Obtains a key for a non-idempotent call from a node.
+pub async fn issued_key(node: &Daemon) -> String {
+    let path = "/tarragon/keys?service=counter&count=1".into();
+    let reply = Call { method: "POST", path, key: None }.send(node).await.unwrap();
+    let answer: serde_json::Value = serde_json::from_str(&reply.text).unwrap();
+    answer["keys"][0].as_str().unwrap().to_string()
+}
--- a/crates/tarragond/tests/processes/support/cluster.rs
+++ b/crates/tarragond/tests/processes/support/cluster.rs
@@ -11,12 +11,20 @@
 use crate::support::first_note;
 use crate::support::until;
 use crate::support::Daemon;
+use crate::support::Network;
 use crate::support::Operator;
 
 const DEPLOYMENT_KEY: &str = "deployment key of the process tests";
 
 const OPERATOR_KEY: &str = "operator key of the process tests";
 
+/// A node to be: its addresses, and those that the other nodes are told.
+struct Plan<'a> {
+    name: &'a str,
+    at: Addresses,
+    told: Addresses,
+}
+
 /// Nodes that form a deployment, the control replicas first.
 pub struct Cluster {
     pub nodes: Vec<Daemon>,
@@ -27,24 +35,42 @@
     /// Prepares nodes; a name that starts with `replica` is a control replica. The part of a name
     /// after an `@` is its data centre, `north` unless given.
     pub fn new(names: &[&str]) -> Self {
-        let all: Vec<(&str, Addresses)> =
-            names.iter().map(|name| (*name, Addresses::reserve())).collect();
-        let replicas: Vec<Value> = all
-            .iter()
-            .filter(|(name, _)| is_replica(name))
-            .map(|(name, at)| {
-                let name = node_name(name);
-                json!({"node_name": name, "control_address": at.control,
-                       "replica_address": at.replica})
+        let plans = names.iter().map(|name| {
+            let at = Addresses::reserve();
+            Plan { name, at, told: at }
+        });
+        Self::build(&plans.collect::<Vec<_>>())
+    }
+
+    /// Prepares nodes that reach each other through relays only.
+    pub async fn behind_relays(names: &[&str]) -> (Self, Network) {
+        let plans = names.iter().map(|name| {
+            let (at, told) = (Addresses::reserve(), Addresses::reserve());
+            Plan { name, at, told }
+        });
+        let plans: Vec<Plan<'_>> = plans.collect();
+        let routes = plans.iter().map(|plan| (node_name(plan.name), plan.told, plan.at));
+        let network = Network::start(routes.collect()).await;
+        (Self::build(&plans), network)
+    }
+
+    fn build(plans: &[Plan<'_>]) -> Self {
+        let replicas = plans.iter().filter(|plan| is_replica(plan.name));
+        let replicas: Vec<Value> = replicas
+            .map(|plan| {
+                json!({"node_name": node_name(plan.name), "control_address": plan.told.control,
+                       "replica_address": plan.told.replica})
             })
             .collect();
-        let seeds: Vec<_> = all.iter().map(|(_, at)| at.gossip).collect();
-        let node = |(name, at): &(&str, Addresses)| {
+        let seeds: Vec<SocketAddr> = plans.iter().map(|plan| plan.told.gossip).collect();
+        let node = |plan: &Plan<'_>| {
             let folder = TempDir::new().unwrap();
-            let settings = settings(name, at, &folder, (&replicas, &seeds));
-            Daemon::new(node_name(name), *at, settings, folder)
+            let mut settings = settings(plan, &folder);
+            settings["seeds"] = json!(seeds);
+            settings["control_replicas"] = json!(replicas);
+            Daemon::new(node_name(plan.name), plan.at, settings, folder)
         };
-        let nodes = all.iter().map(node).collect();
+        let nodes = plans.iter().map(node).collect();
         Self { nodes, operator: Operator::new(Some(OPERATOR_KEY)) }
     }
 
@@ -53,6 +79,19 @@
         for node in &mut self.nodes {
             node.start();
         }
+        self.set_up().await;
+    }
+
+    /// Does the same as [`Self::start`] for nodes behind relays.
+    pub async fn start_behind(&mut self, network: &Network) {
+        for node in &mut self.nodes {
+            node.start();
+        }
+        network.learn(self);
+        self.set_up().await;
+    }
+
+    async fn set_up(&self) {
         for node in &self.nodes {
             let what = format!("{} answers", node.name);
             until(&what, async || self.operator.status(node).await).await;
@@ -119,12 +158,8 @@
     name.split('@').next().expect("a split has a first part")
 }
 
-fn settings(
-    name: &str,
-    at: &Addresses,
-    folder: &TempDir,
-    (replicas, seeds): (&[Value], &[SocketAddr]),
-) -> Value {
+fn settings(plan: &Plan<'_>, folder: &TempDir) -> Value {
+    let Plan { name, at, told } = plan;
     let key_file = |file: &str, text: &str| {
         let path = folder.path().join(file);
         std::fs::write(&path, text).unwrap();
@@ -138,13 +173,16 @@
             "caller_address": at.caller, "exit_address": at.exit, "peer_address": at.peer,
             "gossip_address": at.gossip, "control_address": at.control,
         },
-        "seeds": seeds,
-        "control_replicas": replicas,
+        "advertise": {
+            "peer_address": told.peer, "gossip_address": told.gossip,
+            "control_address": told.control,
+        },
         "deployment_key_file": key_file("deployment.key", DEPLOYMENT_KEY),
         "operator_key_file": key_file("operator.key", OPERATOR_KEY),
     });
     if is_replica(name) {
         settings["listen"]["replica_address"] = json!(at.replica);
+        settings["advertise"]["replica_address"] = json!(told.replica);
         settings["data_dir"] = json!(folder.path().join("data"));
     }
     settings
--- a/crates/tarragond/tests/processes/support/daemon.rs
+++ b/crates/tarragond/tests/processes/support/daemon.rs
@@ -61,6 +61,10 @@
         self.child.is_some()
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().expect("the node runs").id()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let child = self.child.as_ref().expect("the node runs");
