Test keyed calls whose answer is lost

Change: an issued or foreign key whose caller hangs up or whose entry is killed runs once in total over all fake backend servers and its repeats through other nodes get the first answer; a foreign key through two nodes at once runs once; keys of a restarted owner are `unknown` everywhere and never run again.

Fault found, not fixed here (crates/tarragond/src/entry): a key that ran is reported as `not-run: no-server` while its owner is dead but not yet dropped by membership.

Fault found, not fixed here (crates/membership): a change of state can miss a member, whose record then stays old for 10 s and more; seen as "plain-1 Absent" at plain-2 in 170 polls over 11 s while its backend server was ready. The tests of this file then wait longer than 30 s and fail now and then.

Ruled out: permits for held runs; ones left over from one key let the next run go. Held runs are now let go by path.

--- a/crates/tarragond/tests/processes/main.rs
+++ b/crates/tarragond/tests/processes/main.rs
@@ -6,6 +6,7 @@
 
 mod leader_loss;
 mod lost_disk;
+mod once_only;
 mod partition;
 mod paused_leader;
 mod plain_nodes;
--- a/crates/tarragond/tests/processes/plain_nodes.rs
+++ b/crates/tarragond/tests/processes/plain_nodes.rs
@@ -71,7 +71,7 @@
                 let expected = format!("{} ran {path}", other.name);
                 assert_eq!(call(entry, &path).await.text, expected);
             }
-            backends[at].release();
+            backends[at].release("/held");
             (stopping.name.clone(), other.name.clone())
         };
         let (reply, names) = tokio::join!(held, check);
--- a/crates/tarragond/tests/processes/support/backend.rs
+++ b/crates/tarragond/tests/processes/support/backend.rs
@@ -1,3 +1,4 @@
+use std::collections::HashSet;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,7 +17,7 @@
 use serde_json::json;
 use tarragon_client::ControlClient;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use crate::support::Daemon;
@@ -36,7 +37,7 @@
 struct State {
     name: String,
     runs: Mutex<Vec<String>>,
-    held: Semaphore,
+    released: watch::Sender<HashSet<String>>,
 }
 
 impl Backend {
@@ -44,8 +45,11 @@
     pub async fn start(name: &str, node: &Daemon) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let state =
-            Arc::new(State { name: name.into(), runs: Mutex::default(), held: Semaphore::new(0) });
+        let state = Arc::new(State {
+            name: name.into(),
+            runs: Mutex::default(),
+            released: watch::Sender::default(),
+        });
         let mut tasks = JoinSet::new();
         tasks.spawn(serve(listener, Arc::clone(&state)));
         tasks.spawn(announce(node.at.control, address));
@@ -57,9 +61,11 @@
         self.state.runs.lock().unwrap().iter().filter(|run| *run == path).count()
     }
 
-    /// Lets one held run go.
-    pub fn release(&self) {
-        self.state.held.add_permits(1);
+    /// Lets all runs of a held path go.
+    pub fn release(&self, path: &str) {
+        self.state.released.send_modify(|released| {
+            released.insert(path.into());
+        });
     }
 }
 
@@ -81,7 +87,8 @@
     let path = request.uri().path().to_string();
     state.runs.lock().unwrap().push(path.clone());
     if path.contains("held") {
-        state.held.acquire().await.unwrap().forget();
+        let mut released = state.released.subscribe();
+        released.wait_for(|released| released.contains(&path)).await.unwrap();
     }
     Ok(Response::new(Full::from(format!("{} ran {path}", state.name))))
 }
