Learn the first latencies at a start without bias

Cause: the first runs to end after a start are short ones. The baseline taken from them made later runs seem slow, and the limit of a gate with 85 slots stayed at its floor for 6 s. Tolerated windows kept ending the congestion before the comparison could replace the baseline.

Change: the first 128 samples count in any case; a tolerated but raised latency no longer ends a comparison or restarts the time until the next.

Ruled out: clearing only at the uncongested latency; the limit would not probe upward near its tolerance.

--- a/crates/policy/src/admission/concurrency_limit.rs
+++ b/crates/policy/src/admission/concurrency_limit.rs
@@ -137,6 +137,8 @@
     limit: f64,
     window: Window,
     congestion: Option<Congestion>,
+    /// Start of the time in which the latency was over its tolerance or little below it.
+    raised_since_us: Option<u64>,
     reduction_after_us: u64,
     last_ratio: f64,
     last_latency_us: f64,
@@ -151,6 +153,7 @@
             limit: (slots * settings.initial_share).max(1.0),
             window: Window::default(),
             congestion: None,
+            raised_since_us: None,
             reduction_after_us: settings.reduction_after_us,
             last_ratio: 1.0,
             last_latency_us: 0.0,
@@ -190,6 +193,7 @@
     pub(super) fn restart(&mut self) {
         self.limit = (self.slots * self.settings.initial_share).max(1.0);
         self.congestion = None;
+        self.raised_since_us = None;
         self.last_ratio = 1.0;
     }
 
@@ -265,7 +269,13 @@
             let base = self.limit.min(f64::from(in_flight.max(1)) * 2.0);
             self.limit = (base * (1.0 - share / 2.0)).max(self.floor());
         } else if least_ratio <= self.settings.latency_tolerance {
-            self.congestion = self.congestion.filter(|c| c.reduced.is_some_and(|h| h.is_forced));
+            if self.last_ratio <= UNCONGESTED_RATIO {
+                self.raised_since_us = None;
+                self.congestion =
+                    self.congestion.filter(|c| c.reduced.is_some_and(|r| r.is_forced));
+            } else {
+                self.congestion = self.congestion.filter(|c| c.reduced.is_some());
+            }
             self.grow(&window, age_us);
         } else {
             self.decrease(&samples, least_ratio, now_us);
@@ -301,8 +311,9 @@
 
     fn decrease(&mut self, samples: &Samples, ratio: f64, now_us: u64) {
         let (limit, floor) = (self.limit, self.floor());
+        let onset_us = *self.raised_since_us.get_or_insert(now_us);
         let congestion = self.congestion.get_or_insert(Congestion {
-            onset_us: now_us,
+            onset_us,
             limit,
             before: Samples::default(),
             reduced: None,
@@ -350,6 +361,7 @@
         let counted_us = now_us.saturating_sub(reduced.from_us.unwrap_or(now_us));
         if now_us.saturating_sub(reduced.since_us) >= MAX_COMPARISON_US {
             self.congestion = None;
+            self.raised_since_us = None;
             return None;
         }
         let is_few = reduced.samples.count < COMPARISON_SAMPLES;
@@ -363,6 +375,7 @@
             // After a long time of congestion the limit is steady, and a third of it is uncongested.
             self.reduction_after_us = (self.reduction_after_us * 2).min(MAX_REDUCTION_AFTER_US);
             self.congestion = None;
+            self.raised_since_us = None;
             self.last_ratio = 1.0;
             return Some(measured);
         }
--- a/crates/policy/src/admission/run_times.rs
+++ b/crates/policy/src/admission/run_times.rs
@@ -10,6 +10,10 @@
 /// error of the average small against the tolerance of the limit.
 const FIRST_SAMPLES: u32 = 1024;
 
+/// First samples that count even if the latency seems raised. The very first runs to end are short
+/// ones, against which all later ones seem slow.
+const UNCONDITIONAL_SAMPLES: u32 = 128;
+
 /// Weight, in samples, that remains of an uncongested latency after it was multiplied.
 const SCALED_SAMPLES: u32 = 32;
 
@@ -75,7 +79,7 @@
         bucket.samples = bucket.samples.saturating_add(1);
         let mean_weight = MEAN_WEIGHT.max(1.0 / f64::from(bucket.samples));
         bucket.mean_us += (run_us as f64 - bucket.mean_us) * mean_weight;
-        if is_uncongested || bucket.baseline_root == 0.0 {
+        if is_uncongested || bucket.samples <= UNCONDITIONAL_SAMPLES {
             bucket.baseline_samples = bucket.baseline_samples.saturating_add(1);
             let passed_us = now_us.saturating_sub(bucket.last_us) as f64;
             let weight = if bucket.baseline_samples <= FIRST_SAMPLES {
--- a/crates/policy/tests/admission/bench.rs
+++ b/crates/policy/tests/admission/bench.rs
@@ -166,11 +166,11 @@
             let in_flight = self.running.len();
             for (ticket, (offer, _)) in &self.running {
                 let spread = 667 + ticket.0 * 7919 % 667;
-                let run_us = match offer.class {
+                let last_us = || match offer.class {
                     WorkClass::Short => run_us(in_flight) * spread / 1000,
                     WorkClass::Long => offer.expected_us,
                 };
-                self.ends.entry(*ticket).or_insert(self.now_us + run_us);
+                self.ends.entry(*ticket).or_insert_with(|| self.now_us + last_us());
             }
         }
     }
--- a/crates/policy/tests/admission/limit.rs
+++ b/crates/policy/tests/admission/limit.rs
@@ -1,5 +1,8 @@
 //! Guards the learnt limit: it falls with a slow server and is never stuck low.
 
+use std::cell::Cell;
+
+use tarragon_policy::admission::AdmissionSettings;
 use tarragon_policy::admission::RunEnd;
 
 use crate::bench::short;
@@ -57,6 +60,27 @@
     }
 }
 
+/// Failure: a few long runs among many short ones are taken for a slow server.
+#[test]
+fn skewed_run_times_do_not_lower_the_limit() {
+    let settings = AdmissionSettings::default();
+    let mut bench = Bench::with(SLOTS, settings);
+    let runs = Cell::new(0);
+    let skewed = |_| {
+        runs.set(runs.get() + 1);
+        if runs.get() % 10 == 7 {
+            46 * MS
+        } else {
+            6 * MS
+        }
+    };
+    bench.load(&[0, 1], 300, &skewed, 3 * SECOND);
+    for _ in 0..50 {
+        bench.load(&[0, 1], 300, &skewed, 100 * MS);
+        assert!(bench.limit() >= 30, "limit {}", bench.limit());
+    }
+}
+
 /// Failure: refusals of the server do not lower the limit, or lower it for good.
 #[test]
 fn the_limit_falls_with_rejections_and_recovers() {
