--- a/crates/policy/tests/admission/limit.rs
+++ b/crates/policy/tests/admission/limit.rs
@@ -68,10 +68,10 @@
     let runs = Cell::new(0);
     let skewed = |_| {
         runs.set(runs.get() + 1);
-        if runs.get() % 10 == 7 {
-            46 * MS
+        if runs.get() % 20 == 7 {
+            105 * MS
         } else {
-            6 * MS
+            5 * MS
         }
     };
     bench.load(&[0, 1], 300, &skewed, 3 * SECOND);
