Open the cutoff faster than demand suggests while no request waits

Change: the capacity is multiplied by a boost that grows in every window in which no request waited and falls while the queue is over its target.

Ruled out: counting a request once for all its attempts; a caller's retry is a new request to the gate.

--- a/crates/policy/src/admission/adaptive.rs
+++ b/crates/policy/src/admission/adaptive.rs
@@ -290,6 +290,7 @@
             return Verdict::Refuse(self.refusal(Reason::Shed));
         }
         self.queue.insert(waiting);
+        self.cutoff.record_wait();
         Verdict::Wait(ticket)
     }
 
--- a/crates/policy/src/admission/shed_cutoff.rs
+++ b/crates/policy/src/admission/shed_cutoff.rs
@@ -10,6 +10,12 @@
 /// Weight of the newest window in the demand; about 150 ms at the default window.
 const DEMAND_WEIGHT: f64 = 0.3;
 
+/// Change of the boost in a window in which no request waited, and in one in which the queue was
+/// over its target.
+const BOOST_RISE: f64 = 1.25;
+const BOOST_FALL: f64 = 0.7;
+const MAX_BOOST: f64 = 32.0;
+
 /// Weight of the newest window in the completed work.
 const CAPACITY_WEIGHT: f64 = 0.3;
 
@@ -75,6 +81,10 @@
     level: u32,
     step: u32,
     overload: f64,
+    /// Factor of the capacity that makes up for demand counted too high, such as that of callers
+    /// whose refused requests come back many times.
+    boost: f64,
+    has_waiting: bool,
     /// Slot time of the short work that ended in this window, in µs, and its average in slots
     /// while the server was busy.
     completed_us: u64,
@@ -93,6 +103,8 @@
             level: OPEN,
             step: FIRST_STEP,
             overload: 1.0,
+            boost: 1.0,
+            has_waiting: false,
             completed_us: 0,
             completed: 0.0,
             long_work_us: 0.0,
@@ -153,6 +165,11 @@
         now_us.saturating_sub(self.window_start_us)
     }
 
+    /// Records that a request could not run at once.
+    pub(super) fn record_wait(&mut self) {
+        self.has_waiting = true;
+    }
+
     /// Counts short work that has ended.
     pub(super) fn complete(&mut self, work_us: u64) {
         self.completed_us += work_us;
@@ -193,9 +210,15 @@
         let excess_us = settings.queue_target_us as f64 - load.queue_delay_us as f64;
         let correction =
             (1.0 + excess_us / settings.queue_horizon_us.max(1) as f64).clamp(0.2, 1.2);
+        if load.queue_delay_us > settings.queue_target_us {
+            self.boost = (self.boost * BOOST_FALL).max(1.0);
+        } else if !self.has_waiting && self.level < OPEN {
+            self.boost = (self.boost * BOOST_RISE).min(MAX_BOOST);
+        }
+        self.has_waiting = false;
         let total: f64 = self.demand.values().map(RankDemand::total).sum();
         self.overload = total / capacity.max(1.0);
-        let level = self.level_for(capacity * correction);
+        let level = self.level_for(capacity * correction * self.boost);
         if level <= self.level {
             self.level = level;
             self.step = FIRST_STEP;
