--- a/crates/consensus/src/raft/replication.rs
+++ b/crates/consensus/src/raft/replication.rs
@@ -70,15 +70,18 @@
     fn send_entries(&mut self, peer: &ReplicaId, is_heartbeat: bool) {
         let (last_index, base_index) = (self.log.last_index(), self.log.base_index());
         let window = self.settings.window_entries;
+        let is_heard = self.is_heard(peer);
         let Role::Leader(leadership) = &mut self.role else { return };
         let round = leadership.round;
         let Some(progress) = leadership.progress.get_mut(peer) else { return };
         if progress.next_index <= base_index && !matches!(progress.mode, Mode::Snapshot { .. }) {
             return self.start_snapshot(peer);
         }
+        // A member that does not answer only gets heartbeats, so that it costs little while it is
+        // down.
         let is_open = match progress.mode {
-            Mode::Probe { is_sent } => !is_sent,
-            Mode::Stream => progress.next_index <= progress.match_index + window,
+            Mode::Probe { is_sent } => is_heard && !is_sent,
+            Mode::Stream => is_heard && progress.next_index <= progress.match_index + window,
             Mode::Snapshot { .. } => {
                 if is_heartbeat {
                     self.send_bare_heartbeat(peer, round);
@@ -91,8 +94,10 @@
             return;
         }
         let next_index = progress.next_index;
-        let batch_bytes = if is_open { self.settings.batch_bytes } else { 0 };
-        let entries = if is_open { self.log.batch(next_index, batch_bytes) } else { Vec::new() };
+        let entries = match is_open {
+            true => self.log.batch(next_index, self.settings.batch_bytes),
+            false => Vec::new(),
+        };
         match &mut progress.mode {
             Mode::Probe { is_sent } => *is_sent = true,
             _ => progress.next_index += entries.len() as u64,
--- a/crates/consensus/src/raft/settings.rs
+++ b/crates/consensus/src/raft/settings.rs
@@ -30,12 +30,12 @@
 }
 
 impl Default for Settings {
-    /// Limits that keep a message below the 4 MiB of a frame and the log at a fraction of the
-    /// 128 MB that a node may take, and times for data centres a few
-    /// milliseconds apart: an election is over well within the 10 s that a release note may take.
+    /// Limits that keep a message below the 4 MiB of a frame and the log in memory at a few MiB.
+    /// The times are for data centres a few milliseconds apart: an election is over well within
+    /// the 10 s that a release note may take, and heartbeats stay within the 23 KB/s of a node.
     fn default() -> Self {
         Self {
-            heartbeat_ms: 100,
+            heartbeat_ms: 200,
             election_ms: 1_000,
             batch_bytes: 512 << 10,
             window_entries: 64,
--- a/crates/consensus/src/raft/snapshots.rs
+++ b/crates/consensus/src/raft/snapshots.rs
@@ -73,12 +73,13 @@
         self.send_now(peer.clone(), self.term, body);
     }
 
-    /// Sends the current part again if its answer is overdue.
+    /// Sends the current part again if its answer is overdue and the member answers heartbeats.
     pub(super) fn repeat_chunk(&mut self, peer: &ReplicaId) {
         let Role::Leader(leadership) = &self.role else { return };
         let Some(progress) = leadership.progress.get(peer) else { return };
         let Mode::Snapshot { sent_ms, .. } = progress.mode else { return };
-        if self.now_ms >= sent_ms + CHUNK_REPEAT_HEARTBEATS * self.settings.heartbeat_ms {
+        let overdue_ms = sent_ms + CHUNK_REPEAT_HEARTBEATS * self.settings.heartbeat_ms;
+        if self.now_ms >= overdue_ms && self.is_heard(peer) {
             self.send_chunk(peer);
         }
     }
