--- a/crates/consensus/src/storage/recovery.rs
+++ b/crates/consensus/src/storage/recovery.rs
@@ -14,7 +14,7 @@
 use crate::storage::segment;
 use crate::storage::segment::Header;
 use crate::storage::segment::HEADER_BYTES;
-use crate::storage::snapshot_file::atomic_file_numbers;
+use crate::storage::snapshot_file::numbered_files;
 use crate::storage::sync_mark::SyncedTo;
 use crate::storage::StorageError;
 
@@ -47,7 +47,7 @@
 
 /// Segments of a directory, in order.
 pub(super) fn list_segments(directory: &Path) -> Result<Vec<(u64, PathBuf)>, Report<StorageError>> {
-    let mut found = atomic_file_numbers(directory, SEGMENT_PREFIX)?;
+    let mut found = numbered_files(directory, SEGMENT_PREFIX)?;
     found.sort();
     Ok(found)
 }
--- a/crates/consensus/src/storage/snapshot_file.rs
+++ b/crates/consensus/src/storage/snapshot_file.rs
@@ -16,13 +16,13 @@
 
 /// Snapshot files of a directory, by index.
 fn list(directory: &Path) -> Result<Vec<(u64, PathBuf)>, Report<StorageError>> {
-    let mut found = atomic_file_numbers(directory, PREFIX)?;
+    let mut found = numbered_files(directory, PREFIX)?;
     found.sort();
     Ok(found)
 }
 
 /// Files of a directory whose name is a prefix and a number of 16 hex digits.
-pub(super) fn atomic_file_numbers(
+pub(super) fn numbered_files(
     directory: &Path,
     prefix: &str,
 ) -> Result<Vec<(u64, PathBuf)>, Report<StorageError>> {
