Generate slow nodes, broken paths and other cluster sizes

Cause: the generated schedules had one size and no fault of a single path.

Change: clusters of 5, 3 and 8 nodes in one to three data centres as well; nodes that handle everything up to 1.5 s late; pairs of nodes without a path.

--- a/crates/membership/tests/simulation/schedules.rs
+++ b/crates/membership/tests/simulation/schedules.rs
@@ -21,42 +21,50 @@
     Heal,
     Loss(f64),
     Delay(u64),
+    Slow(usize, u64),
+    Block(usize, usize),
 }
 
 #[derive(Debug, Clone)]
 struct Schedule {
     seed: u64,
+    sizes: &'static [usize],
     is_paged: bool,
     duplication: f64,
     faults: Vec<(u64, Fault)>,
 }
 
-const SIZES: [usize; 3] = [4, 4, 4];
+/// Members per data centre.
+const SIZES: [&[usize]; 4] = [&[4, 4, 4], &[1, 1, 1], &[7, 1], &[5]];
 
 impl Arbitrary for Schedule {
     fn arbitrary(g: &mut Gen) -> Self {
-        let nodes = SIZES.iter().sum::<usize>();
         let mut below = |limit: usize| usize::arbitrary(g) % limit;
+        let sizes = SIZES[[0, 0, 0, 1, 2, 3][below(6)]];
+        let nodes = sizes.iter().sum::<usize>();
         let mut faults = Vec::new();
         for _ in 0..2 + below(10) {
             let wait_ms = below(12_000) as u64;
             let node = below(nodes);
-            let fault = match below(11) {
+            let fault = match below(13) {
                 0 | 1 => Fault::Kill(node),
                 2 => Fault::Restart(node),
                 3 => Fault::Pause(node, 500 + below(25_000) as u64),
                 4 => Fault::Leave(node),
                 5 => Fault::Drain(node, below(100) as u64),
                 6 => Fault::Revision(node, below(100) as u64),
-                7 => Fault::Cut(below(SIZES.len())),
+                7 => Fault::Cut(below(sizes.len())),
                 8 => Fault::Heal,
                 9 => Fault::Loss((1 + below(20)) as f64 / 100.0),
-                _ => Fault::Delay(below(400) as u64),
+                10 => Fault::Delay(below(400) as u64),
+                11 => Fault::Slow(node, below(1_500) as u64),
+                _ => Fault::Block(node, below(nodes)),
             };
             faults.push((wait_ms, fault));
         }
         let duplication = below(20) as f64 / 100.0;
-        Self { seed: below(1 << 30) as u64, is_paged: below(2) == 0, duplication, faults }
+        let (seed, is_paged) = (below(1 << 30) as u64, below(2) == 0);
+        Self { seed, sizes, is_paged, duplication, faults }
     }
 
     fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
@@ -86,6 +94,8 @@
         Fault::Heal => cluster.network.cut.clear(),
         Fault::Loss(loss) => cluster.network.loss = loss,
         Fault::Delay(max_ms) => cluster.network.delay_ms = (1, 6 + max_ms),
+        Fault::Slow(node, by_ms) => cluster.nodes[node].slow_ms = by_ms,
+        Fault::Block(node, other) => cluster.network.blocked.push((node, other)),
     }
 }
 
@@ -94,7 +104,7 @@
         has_full_state_source: !schedule.is_paged,
         ..MembershipSettings::default()
     };
-    let mut cluster = Cluster::new(&SIZES, settings, schedule.seed);
+    let mut cluster = Cluster::new(schedule.sizes, settings, schedule.seed);
     cluster.network.duplication = schedule.duplication;
     // A few members miss a record when all join at once; a repair by digest takes up to 25 s.
     cluster.run(60_000);
@@ -107,6 +117,8 @@
         apply(&mut cluster, fault);
     }
     cluster.network.cut.clear();
+    cluster.network.blocked.clear();
+    cluster.nodes.iter_mut().for_each(|node| node.slow_ms = 0);
     cluster.network.loss = 0.0;
     cluster.network.delay_ms = (1, 6);
     // Pauses end after 25 s; the periodic full exchange repairs what datagrams lost.
@@ -133,7 +145,8 @@
 #[test]
 fn kept_schedule_of_two_cuts() {
     let faults = vec![(4_481, Fault::Cut(1)), (20_000, Fault::Cut(0)), (15_000, Fault::Heal)];
-    let schedule = Schedule { seed: 446_341_104, is_paged: false, duplication: 0.06, faults };
+    let schedule =
+        Schedule { seed: 446_341_104, sizes: SIZES[0], is_paged: false, duplication: 0.06, faults };
     assert_eq!(run_schedule(&schedule), Ok(()));
 }
 
@@ -141,6 +154,6 @@
 #[test]
 fn kept_schedule_of_a_join_that_two_members_miss() {
     let (seed, faults) = (1_071_075_585, Vec::new());
-    let schedule = Schedule { seed, is_paged: true, duplication: 0.1, faults };
+    let schedule = Schedule { seed, sizes: SIZES[0], is_paged: true, duplication: 0.1, faults };
     assert_eq!(run_schedule(&schedule), Ok(()));
 }
