Test that many hang-ups leave a peer connection alone

Cause: the raised reset limits had no test.

Change: 3,000 calls in 30 rounds whose callers hang up, before or in the run; the connection between the nodes must stay.

Ruled out: nothing.

--- a/crates/tarragond/tests/datapath/lost.rs
+++ b/crates/tarragond/tests/datapath/lost.rs
@@ -284,3 +284,38 @@
     }
     assert_eq!(relay.accepted(), 2);
 }
+
+/// Guards against a connection that the HTTP/2 library closes, with all calls on it, because many
+/// callers hang up at once.
+#[tokio::test]
+async fn many_hang_ups_leave_the_connection_to_a_peer_alone() {
+    let backend = FakeBackend::start(|request| async move {
+        if request.method() == "POST" {
+            std::future::pending::<()>().await;
+        }
+        text("seen")
+    })
+    .await;
+    let cluster = Cluster::new();
+    let (owner, relay) = relayed(&cluster, &backend).await;
+    let entry = cluster.node("entry", None).await;
+    until_answered(&entry).await;
+    for round in 0..30 {
+        let calls = (0..100).map(|_| request(entry.caller, "POST", "/weigh", &[], "12 kg"));
+        let hang_up = async {
+            // Some rounds end before the calls reach the gate, others in the run.
+            while owner.gate.in_flight() < round * 3 {
+                tokio::task::yield_now().await;
+            }
+        };
+        tokio::select! {
+            _ = futures_util::future::join_all(calls) => panic!("no answer was given"),
+            () = hang_up => {}
+        }
+    }
+    let reply = request(entry.caller, "GET", "/", &[], "").await;
+    assert_eq!((reply.outcome(), reply.reason()), ("answered", ""));
+    owner.gate.idle().await;
+    assert_eq!(relay.accepted(), 1);
+    assert_eq!(entry.metrics.read("route.connection_lost"), 0);
+}
