Give up callers who take no bytes of their answer

Cause: a caller who stops reading kept its connection for ever, and a stop of the node waited for it.

Change: a connection of a caller fails when no byte can be written for `caller_stall_ms` (default 30 s). The test of a caller who stops reading now also stops the nodes.

Ruled out: a bound on the time of a stop; it would cut short answers that make progress.

--- a/crates/tarragond/src/datapath/data_path.rs
+++ b/crates/tarragond/src/datapath/data_path.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use error_stack::Report;
 use error_stack::ResultExt;
@@ -147,13 +148,16 @@
         let listeners = TaskTracker::new();
         listeners.close();
         let limit = settings.max_header_bytes;
+        let stall = Duration::from_millis(settings.caller_stall_ms);
         let handler = Arc::new(CallerHandler::new(Arc::clone(&forwarder)));
         let address = settings.caller_address;
-        let caller = Http1Listener::bind("entry", address, handler, limit, listeners.token()).await;
+        let caller =
+            Http1Listener::bind("entry", address, handler, limit, stall, listeners.token()).await;
         let caller = caller.change_context(BindError { setting: "caller_address", address })?;
         let handler = Arc::new(ExitHandler::new(forwarder));
         let address = settings.exit_address;
-        let exit = Http1Listener::bind("exit", address, handler, limit, listeners.token()).await;
+        let exit =
+            Http1Listener::bind("exit", address, handler, limit, stall, listeners.token()).await;
         let exit = exit.change_context(BindError { setting: "exit_address", address })?;
         let address = settings.peer_address;
         let peer =
--- a/crates/tarragond/src/datapath/settings.rs
+++ b/crates/tarragond/src/datapath/settings.rs
@@ -27,6 +27,8 @@
     pub keep_answer_bytes: usize,
     /// Longest deadline that a caller may ask for, in ms.
     pub max_deadline_ms: u64,
+    /// Time after which a caller that takes no bytes of its answer is given up, in ms.
+    pub caller_stall_ms: u64,
     /// Expected run time from which work counts as long, in ms.
     pub long_work_ms: u64,
     /// Most connections to the own backend server.
@@ -84,6 +86,7 @@
             keep_request_bytes: 64 * 1024,
             keep_answer_bytes: 64 * 1024,
             max_deadline_ms: 3_600_000,
+            caller_stall_ms: 30_000,
             long_work_ms: 1_000,
             max_backend_connections: 550,
             backend_idle_ms: 10_000,
--- a/crates/tarragond/src/transport/http1_listener.rs
+++ b/crates/tarragond/src/transport/http1_listener.rs
@@ -11,19 +11,18 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use tarragon_kernel::Kernel;
 use tarragon_kernel::KernelError;
 use tarragon_kernel::Service;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 use tokio_util::task::TaskTracker;
 use tracing::debug;
 
 use crate::transport::Body;
+use crate::transport::StallIo;
 
 /// Wait after a failed accept, which usually means that file descriptors ran out.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
@@ -46,6 +45,7 @@
     listener: Mutex<Option<TcpListener>>,
     handler: Arc<H>,
     max_header_bytes: usize,
+    stall_limit: Duration,
     /// Released when the last request has ended.
     active: Mutex<Option<TaskTrackerToken>>,
 }
@@ -60,13 +60,14 @@
         address: SocketAddr,
         handler: Arc<H>,
         max_header_bytes: usize,
+        stall_limit: Duration,
         active: TaskTrackerToken,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let listener = Mutex::new(Some(listener));
         let active = Mutex::new(Some(active));
-        Ok(Self { name, address, listener, handler, max_header_bytes, active })
+        Ok(Self { name, address, listener, handler, max_header_bytes, stall_limit, active })
     }
 
     /// The bound address.
@@ -76,7 +77,7 @@
 
     async fn serve(
         handler: Arc<H>,
-        stream: TcpStream,
+        stream: StallIo,
         max_header_bytes: usize,
         stop: CancellationToken,
     ) {
@@ -90,7 +91,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE_TIMEOUT)
             .max_buf_size(max_header_bytes * 4)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(stream, service);
         tokio::pin!(connection);
         let result = tokio::select! {
             result = connection.as_mut() => result,
@@ -128,6 +129,7 @@
             match accepted {
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true);
+                    let stream = StallIo::new(stream, self.stall_limit);
                     let handler = Arc::clone(&self.handler);
                     let serve = Self::serve(handler, stream, self.max_header_bytes, stop.clone());
                     tracker.spawn(serve);
--- a/crates/tarragond/src/transport/mod.rs
+++ b/crates/tarragond/src/transport/mod.rs
@@ -7,6 +7,7 @@
 mod hop_headers;
 mod http1_listener;
 mod replay_body;
+mod stall_io;
 
 pub use body::empty;
 pub use body::full;
@@ -22,3 +23,4 @@
 pub use http1_listener::Http1Handler;
 pub use http1_listener::Http1Listener;
 pub use replay_body::ReplayBody;
+pub(crate) use stall_io::StallIo;
--- a/crates/tarragond/tests/datapath/lost.rs
+++ b/crates/tarragond/tests/datapath/lost.rs
@@ -237,7 +237,7 @@
     owner.gate.idle().await;
 }
 
-/// Guards against a slot that is held for ever by a caller who stops reading its answer.
+/// Guards against a slot, or a stop of the node, that a caller who stops reading holds up for ever.
 #[tokio::test]
 async fn a_caller_who_stops_reading_loses_its_slot_at_the_deadline() {
     let backend = FakeBackend::start(|request| async move {
@@ -249,12 +249,14 @@
         http::Response::new(StreamBody::new(chunks.take(4_096)).boxed_unsync())
     })
     .await;
-    let cluster = Cluster::new();
+    let mut cluster = Cluster::new();
+    cluster.settings.caller_stall_ms = 500;
     let owner = cluster.node("owner", Some(backend.address)).await;
     let entry = cluster.node("entry", None).await;
     until_routed(&owner).await;
     until_routed(&entry).await;
     owner.gate.idle().await;
+    let mut streams = Vec::new();
     for caller in [owner.caller, entry.caller] {
         let mut stream = TcpStream::connect(caller).await.unwrap();
         let head = b"GET / HTTP/1.1\r\nhost: counter\r\ntarragon-deadline-ms: 300\r\n\r\n";
@@ -263,8 +265,10 @@
             tokio::task::yield_now().await;
         }
         owner.gate.idle().await;
-        drop(stream);
+        streams.push(stream);
     }
+    entry.stop().await;
+    owner.stop().await;
 }
 
 /// Guards against a connection for every call between two nodes.
