--- a/crates/tarragond/src/datapath/data_path.rs
+++ b/crates/tarragond/src/datapath/data_path.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use error_stack::Report;
 use error_stack::ResultExt;
@@ -153,6 +154,7 @@
         let limits = Http1Limits {
             max_header_bytes: settings.max_header_bytes,
             max_connections: settings.max_caller_connections,
+            stall_limit: Duration::from_millis(settings.caller_stall_ms),
         };
         let handler = Arc::new(CallerHandler::new(Arc::clone(&forwarder), policies.throttle));
         let address = settings.caller_address;
--- a/crates/tarragond/src/transport/http1_listener.rs
+++ b/crates/tarragond/src/transport/http1_listener.rs
@@ -11,19 +11,18 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use tarragon_kernel::Kernel;
 use tarragon_kernel::KernelError;
 use tarragon_kernel::Service;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 use tokio_util::task::TaskTracker;
 use tracing::debug;
 
 use crate::transport::Body;
+use crate::transport::StallIo;
 
 /// Wait after a failed accept, which usually means that file descriptors ran out.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
@@ -46,6 +45,8 @@
     pub max_header_bytes: usize,
     /// Most connections at once; further ones wait in the backlog.
     pub max_connections: usize,
+    /// Time after which a caller that takes no bytes is given up.
+    pub stall_limit: Duration,
 }
 
 /// Address that a request came from, in its extensions.
@@ -89,7 +90,7 @@
 
     async fn serve(
         handler: Arc<H>,
-        stream: TcpStream,
+        stream: StallIo,
         from: SocketAddr,
         max_header_bytes: usize,
         stop: CancellationToken,
@@ -105,7 +106,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE_TIMEOUT)
             .max_buf_size(max_header_bytes * 4)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(stream, service);
         tokio::pin!(connection);
         let result = tokio::select! {
             result = connection.as_mut() => result,
@@ -148,6 +149,7 @@
             match accepted {
                 Ok((stream, from)) => {
                     let _ = stream.set_nodelay(true);
+                    let stream = StallIo::new(stream, self.limits.stall_limit);
                     let handler = Arc::clone(&self.handler);
                     let serve = Self::serve(
                         handler,
--- a/crates/tarragond/src/transport/mod.rs
+++ b/crates/tarragond/src/transport/mod.rs
@@ -7,6 +7,7 @@
 mod hop_headers;
 mod http1_listener;
 mod replay_body;
+mod stall_io;
 
 pub use body::empty;
 pub use body::full;
@@ -24,3 +25,4 @@
 pub use http1_listener::Http1Listener;
 pub use http1_listener::RemoteAddress;
 pub use replay_body::ReplayBody;
+pub(crate) use stall_io::StallIo;
--- a/crates/tarragond/tests/datapath/lost.rs
+++ b/crates/tarragond/tests/datapath/lost.rs
@@ -237,7 +237,7 @@
     owner.gate.idle().await;
 }
 
-/// Guards against a slot that is held for ever by a caller who stops reading its answer.
+/// Guards against a slot, or a stop of the node, that a caller who stops reading holds up for ever.
 #[tokio::test]
 async fn a_caller_who_stops_reading_loses_its_slot_at_the_deadline() {
     let backend = FakeBackend::start(|request| async move {
@@ -249,12 +249,14 @@
         http::Response::new(StreamBody::new(chunks.take(4_096)).boxed_unsync())
     })
     .await;
-    let cluster = Cluster::new();
+    let mut cluster = Cluster::new();
+    cluster.settings.caller_stall_ms = 500;
     let owner = cluster.node("owner", Some(backend.address)).await;
     let entry = cluster.node("entry", None).await;
     until_routed(&owner).await;
     until_routed(&entry).await;
     owner.gate.idle().await;
+    let mut streams = Vec::new();
     for caller in [owner.caller, entry.caller] {
         let mut stream = TcpStream::connect(caller).await.unwrap();
         let head = b"GET / HTTP/1.1\r\nhost: counter\r\ntarragon-deadline-ms: 300\r\n\r\n";
@@ -263,8 +265,10 @@
             tokio::task::yield_now().await;
         }
         owner.gate.idle().await;
-        drop(stream);
+        streams.push(stream);
     }
+    entry.stop().await;
+    owner.stop().await;
 }
 
 /// Guards against a connection for every call between two nodes.
@@ -284,3 +288,38 @@
     }
     assert_eq!(relay.accepted(), 2);
 }
+
+/// Guards against a connection that the HTTP/2 library closes, with all calls on it, because many
+/// callers hang up at once.
+#[tokio::test]
+async fn many_hang_ups_leave_the_connection_to_a_peer_alone() {
+    let backend = FakeBackend::start(|request| async move {
+        if request.method() == "POST" {
+            std::future::pending::<()>().await;
+        }
+        text("seen")
+    })
+    .await;
+    let cluster = Cluster::new();
+    let (owner, relay) = relayed(&cluster, &backend).await;
+    let entry = cluster.node("entry", None).await;
+    until_answered(&entry).await;
+    for round in 0..30 {
+        let calls = (0..100).map(|_| request(entry.caller, "POST", "/weigh", &[], "12 kg"));
+        let hang_up = async {
+            // Some rounds end before the calls reach the gate, others in the run.
+            while owner.gate.in_flight() < round * 3 {
+                tokio::task::yield_now().await;
+            }
+        };
+        tokio::select! {
+            _ = futures_util::future::join_all(calls) => panic!("no answer was given"),
+            () = hang_up => {}
+        }
+    }
+    let reply = request(entry.caller, "GET", "/", &[], "").await;
+    assert_eq!((reply.outcome(), reply.reason()), ("answered", ""));
+    owner.gate.idle().await;
+    assert_eq!(relay.accepted(), 1);
+    assert_eq!(entry.metrics.read("route.connection_lost"), 0);
+}
