Aim at 20 ms of queueing delay under overload

Cause: at a load of exactly the capacity a gate with 20 slots lost goodput to idle slots.

Change: the default queueing delay that the cutoff aims at is 20 ms, not 10 ms.

Ruled out: nothing.

--- a/crates/policy/src/admission/settings.rs
+++ b/crates/policy/src/admission/settings.rs
@@ -50,7 +50,7 @@
             latency_tolerance: 1.4,
             reduction_after_us: 500_000,
             max_queue: 1024,
-            queue_target_us: 10_000,
+            queue_target_us: 20_000,
             queue_horizon_us: 200_000,
             long_share: 0.25,
             retry_after_ms: 200,
