Say when a poll is due at once

Cause: an implementation of the admission trait may return a time that has passed, and the trait does not say what that means.

Change: doc comment of next_poll_us.

Ruled out: nothing.

--- a/crates/policy/src/admission/policy.rs
+++ b/crates/policy/src/admission/policy.rs
@@ -95,7 +95,8 @@
     /// Returns the waiting requests that now run or are refused.
     fn poll(&mut self, now_us: u64) -> Vec<Release>;
 
-    /// Time at which `poll` is due even if nothing ends before, in µs.
+    /// Time at which `poll` is due even if nothing ends before, in µs. It is due at once if the time
+    /// has passed.
     fn next_poll_us(&self) -> Option<u64>;
 
     /// Forgets a waiting request whose caller gave up.
