Let a voter stand for election while its removal is not committed

The longest log was on a replica that held an uncommitted entry removing itself. The others needed its vote, which it refused because their logs were shorter, and it did not stand itself because its latest configuration did not contain it. Change: such a replica stands for election without counting its own vote, as section 4.2.2 of the dissertation asks.

--- a/crates/consensus/src/raft/election.rs
+++ b/crates/consensus/src/raft/election.rs
@@ -20,7 +20,7 @@
             self.heartbeat_if_due();
         } else if self.now_ms >= self.election_at_ms {
             self.draw_election_time();
-            if self.is_voter() {
+            if self.may_stand() {
                 self.campaign();
             }
         }
@@ -43,6 +43,17 @@
         self.election_at_ms = self.now_ms;
     }
 
+    /// Whether this replica may stand for election.
+    ///
+    /// A voter whose removal is not committed still may, without counting its own vote (section
+    /// 4.2.2): its log may be the only one that is complete enough to win.
+    fn may_stand(&self) -> bool {
+        let is_removal_open = self.configuration_index > self.commit_index;
+        let before = self.configuration_index.saturating_sub(1);
+        self.is_voter()
+            || (is_removal_open && self.log.configuration_at(before).0.voters.contains(&self.id))
+    }
+
     /// Asks for pre-votes, so that a replica that cannot win does not raise the term.
     fn campaign(&mut self) {
         self.leader = None;
--- a/crates/consensus/src/raft/replica.rs
+++ b/crates/consensus/src/raft/replica.rs
@@ -281,7 +281,7 @@
         None
     }
 
-    /// Whether this replica votes and may stand for election.
+    /// Whether this replica is a voter of the latest configuration.
     pub(super) fn is_voter(&self) -> bool {
         let own = self.counted_as(&self.id);
         own.is_some_and(|id| self.configuration.voters.contains(&id))
--- a/crates/consensus/tests/replica/directed.rs
+++ b/crates/consensus/tests/replica/directed.rs
@@ -331,3 +331,22 @@
     message.log_id = before.configuration.log_id();
     assert!(!replica.step(Event::Receive(message), 0).is_empty(), "its own log is followed");
 }
+
+/// Guards against a cluster that stands still because the only replica whose log is complete
+/// enough to be elected holds an uncommitted entry that removes it.
+#[test]
+fn a_replica_that_is_being_removed_still_stands_for_election() {
+    for seed in 1..6 {
+        let mut sim = cluster(seed, 2, 0, Switches::default());
+        let leader = leader_of(&sim);
+        let removed = id(&sim, leader);
+        block(&mut sim, &[&[leader]]);
+        sim.change(leader, MemberChange::Remove(removed.clone())).unwrap();
+        sim.run(5 * ELECTION_MS).unwrap();
+        sim.calm();
+        sim.await_progress(LIMIT_MS).unwrap();
+        sim.run(5 * ELECTION_MS).unwrap();
+        assert_ne!(leader_of(&sim), leader);
+        assert!(!status_of(&sim, leader_of(&sim)).configuration.has_member(&removed));
+    }
+}
