Revert the protection of important ranks from the queueing delay

Tried: ranks that need up to 60% of the capacity are not shed for the queueing delay.

A trace shows the real cause: for the first 1.25 s the limit falls to a third, to learn whether the server queues or is slow anyway, and the capacity at that limit is below the demand of the most important rank.

--- a/crates/policy/src/admission/shed_cutoff.rs
+++ b/crates/policy/src/admission/shed_cutoff.rs
@@ -32,10 +32,6 @@
 /// cutoff is mostly refused at its entry and thus unknown here, so the cutoff cannot jump.
 const FIRST_STEP: u32 = 1 << 13;
 
-/// Share of the capacity up to which demand is not shed for the queueing delay. The rest is room
-/// for a capacity that is taken for larger than it is.
-const PROTECTED_SHARE: f64 = 0.6;
-
 /// Level that admits everything.
 const OPEN: u32 = 1 << 24;
 
@@ -222,8 +218,7 @@
         self.has_waiting = false;
         let total: f64 = self.demand.values().map(RankDemand::total).sum();
         self.overload = total / capacity.max(1.0);
-        let level =
-            self.level_for(capacity * correction * self.boost).max(self.protected_level(capacity));
+        let level = self.level_for(capacity * correction * self.boost);
         if level <= self.level {
             self.level = level;
             self.step = FIRST_STEP;
@@ -259,19 +254,6 @@
         self.demand.retain(|_, demand| demand.total() > NEGLIGIBLE_SLOTS);
     }
 
-    /// Level of the ranks that the queueing delay must not shed, because they need only a part of
-    /// the capacity. A queue that less important work has left behind ends by itself.
-    fn protected_level(&self, capacity: f64) -> u32 {
-        let mut demand = 0.0;
-        for (rank, of_rank) in &self.demand {
-            demand += of_rank.total();
-            if demand > capacity * PROTECTED_SHARE {
-                return u32::from(*rank) << 16;
-            }
-        }
-        self.demand.keys().next_back().map_or(0, |rank| u32::from(*rank) << 16)
-    }
-
     /// Level below which the demand adds up to the capacity.
     ///
     /// Long work that no slots can be lent to does not shed short work of its own rank, which could
