--- a/crates/tarragond/src/app/node.rs
+++ b/crates/tarragond/src/app/node.rs
@@ -113,6 +113,7 @@
 
         let replica = open_replica(&settings, &addresses, &deployment_key).await?;
         let (replica, own_log) = replica.map_or((None, None), |(r, l)| (Some(r), Some(l)));
+        let metrics = metrics(&settings)?;
         let membership = MembershipService::bind(MembershipServiceParts {
             own: own_record(&settings, instance),
             listen_address: settings.listen.gossip_address,
@@ -126,6 +127,7 @@
             wanted: wanted_sender,
             backend: announcements.status(),
             catalogue: copy.clone(),
+            metrics: Arc::clone(&metrics),
         });
         let membership = Arc::new(membership.await.change_context(AppError::Bind("membership"))?);
         let follower = CatalogueFollower::new(CatalogueFollowerParts {
@@ -175,7 +177,7 @@
             directory,
             backend: Arc::clone(&announcements) as _,
             claims: Arc::new(LogClaims::new(Arc::clone(&log), settings.limits.key_retention_s)),
-            metrics: metrics(&settings)?,
+            metrics,
             extension: None,
         };
         Ok(Self {
--- a/crates/tarragond/src/members/membership_service.rs
+++ b/crates/tarragond/src/members/membership_service.rs
@@ -20,11 +20,15 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::backend::BackendStatus;
+use crate::datapath::Metrics;
 use crate::members::ControlFullState;
 
 /// Time between checks for what only time changes in the own backend server, in ms.
 const LOCAL_CHECK_INTERVAL_MS: u64 = 1_000;
 
+/// Time between two reports of the protocol's counters, in ms.
+const COUNT_INTERVAL_MS: u64 = 10_000;
+
 /// What the membership service works with.
 pub struct MembershipServiceParts {
     /// Record of this node.
@@ -43,6 +47,8 @@
     pub backend: watch::Receiver<BackendStatus>,
     /// The node's copy of the catalogue.
     pub catalogue: watch::Receiver<Arc<Catalogue>>,
+    /// Receiver of counters.
+    pub metrics: Arc<dyn Metrics>,
 }
 
 /// Runs the membership protocol and connects it to the rest of the node.
@@ -53,6 +59,7 @@
     wanted: watch::Sender<u64>,
     backend: watch::Receiver<BackendStatus>,
     catalogue: watch::Receiver<Arc<Catalogue>>,
+    metrics: Arc<dyn Metrics>,
 }
 
 impl MembershipService {
@@ -78,6 +85,7 @@
             wanted: parts.wanted,
             backend: parts.backend,
             catalogue: parts.catalogue,
+            metrics: parts.metrics,
         })
     }
 
@@ -121,6 +129,20 @@
             }
         }
     }
+
+    /// Sends the growth of the protocol's counters to the metrics.
+    async fn count(&self) {
+        let mut sent = self.handle.counters().values();
+        let interval = Duration::from_millis(COUNT_INTERVAL_MS);
+        loop {
+            tokio::time::sleep(interval).await;
+            let values = self.handle.counters().values();
+            for ((name, value), (_, before)) in values.iter().zip(sent) {
+                self.metrics.count(name, value - before);
+            }
+            sent = values;
+        }
+    }
 }
 
 #[async_trait]
@@ -147,6 +169,7 @@
             () = driver.run(driver_stop.clone()) => {}
             () = self.publish_changes() => {}
             () = self.tell_changes() => {}
+            () = self.count() => {}
             () = leaving => {}
         }
         Ok(())
--- /dev/null
+++ b/crates/tarragond/tests/control/settings.rs
@@ -0,0 +1,81 @@
+use std::path::Path;
+
+use serde_json::json;
+use serde_json::Value;
+use tarragon_model::check::format_mistakes;
+use tarragond::conf::load_settings;
+use tarragond::conf::SettingsError;
+
+fn valid() -> Value {
+    json!({
+        "node_name": "north-1", "data_centre": "north", "region": "delta-south",
+        "listen": {
+            "caller_address": "127.0.0.1:7100", "exit_address": "127.0.0.1:7101",
+            "peer_address": "127.0.0.1:7102", "gossip_address": "127.0.0.1:7103",
+            "control_address": "127.0.0.1:7104"
+        },
+        "control_replicas": [{
+            "node_name": "north-1", "control_address": "127.0.0.1:7104",
+            "replica_address": "127.0.0.1:7105"
+        }],
+        "deployment_key_file": "deployment.key", "operator_key_file": "operator.key"
+    })
+}
+
+fn mistakes(settings: &Value) -> String {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let path = folder.path().join("settings.json");
+    std::fs::write(&path, settings.to_string()).expect("the file can be written");
+    match load_settings(&path) {
+        Ok(_) => String::new(),
+        Err(report) => match report.current_context() {
+            SettingsError::Invalid(mistakes) => format_mistakes(mistakes),
+            other => panic!("the settings could not be read: {other}"),
+        },
+    }
+}
+
+#[test]
+fn valid_settings_have_no_mistakes() {
+    assert_eq!(mistakes(&valid()), "");
+}
+
+/// Guards against a check that stops at the first mistake, which makes operators guess.
+#[test]
+fn every_mistake_is_reported_with_its_path() {
+    let mut settings = valid();
+    settings["node_name"] = json!("a name with spaces");
+    settings["listen"]["exit_address"] = json!("127.0.0.1:7100");
+    settings["listen"]["gossip_address"] = json!("0.0.0.0:7103");
+    settings["data_dir"] = json!("data");
+    settings["limits"] = json!({ "key_retention_s": 0, "max_head_bytes": 10 });
+    let text = mistakes(&settings);
+    let paths = [
+        "$.node_name:",
+        "$.listen.exit_address:",
+        "$.listen.gossip_address:",
+        "$.listen.replica_address:",
+        "$.limits.key_retention_s:",
+        "$.limits.max_head_bytes:",
+    ];
+    for path in paths {
+        assert!(text.contains(path), "{path} is not in:\n{text}");
+    }
+}
+
+/// Guards against misspelt keys that silently leave a default in force.
+#[test]
+fn unknown_keys_and_wrong_types_are_mistakes() {
+    let mut settings = valid();
+    settings["listen"]["peer_adress"] = json!("127.0.0.1:7102");
+    settings["limits"] = json!({ "retry_tokens": "three" });
+    let text = mistakes(&settings);
+    assert!(text.contains("peer_adress"), "{text}");
+    assert!(text.contains("$.limits.retry_tokens:"), "{text}");
+}
+
+#[test]
+fn a_missing_file_is_named() {
+    let report = load_settings(Path::new("no-such-settings.json")).unwrap_err();
+    assert!(report.current_context().to_string().contains("no-such-settings.json"));
+}
