Send changes of state more often than other updates

Change: a change of a backend server's state and a departure are transmitted half as often again and go before joins and refutations, which go before deaths and suspicions. A refutation that follows such a change keeps its rank.

Ruled out: more transmissions of every update, because refutations after a healed partition are most of the traffic then.

--- a/crates/membership/src/protocol/membership.rs
+++ b/crates/membership/src/protocol/membership.rs
@@ -291,7 +291,7 @@
             self.own.service = service;
             self.own.state = state;
             self.own.version = (self.own.version + 1).min(crate::FINAL_VERSION - 1);
-            self.spreading.queue.push(self.own.instance, Urgency::State, has_new_service);
+            self.spreading.queue.push(self.own.instance, Urgency::Change, has_new_service);
             self.spread_at_once(now_ms);
         }
         if is_state_change || is_revision_change {
@@ -302,7 +302,7 @@
     fn leave(&mut self, now_ms: u64) {
         if !self.has_left {
             self.has_left = true;
-            self.spreading.queue.push(self.own.instance, Urgency::State, false);
+            self.spreading.queue.push(self.own.instance, Urgency::Change, false);
             self.spread_at_once(now_ms);
         }
     }
--- a/crates/membership/src/protocol/merging.rs
+++ b/crates/membership/src/protocol/merging.rs
@@ -40,8 +40,13 @@
         match update {
             Update::Full(record) => {
                 self.learn_revision(record.revision, now_ms);
+                let has_new_state = self.table.entry(id).is_some_and(|known| {
+                    let known = &known.record;
+                    known.state != record.state || known.service != record.service
+                });
                 if self.merge_record(*record, now_ms) {
-                    self.spreading.queue.push(id, Urgency::State, true);
+                    let urgency = if has_new_state { Urgency::Change } else { Urgency::State };
+                    self.spreading.queue.push(id, urgency, true);
                 }
             }
             Update::Brief { instance, version, state, revision, service_tag } => {
@@ -176,11 +181,13 @@
             self.merge_member_revision(id, brief.revision);
             return;
         }
+        let has_new_state = entry.record.state != brief.state;
         entry.record.version = brief.version;
         entry.record.state = brief.state;
         entry.record.revision = entry.record.revision.max(brief.revision);
         self.revive(id, brief.version, now_ms);
-        self.spreading.queue.push(id, Urgency::State, false);
+        let urgency = if has_new_state { Urgency::Change } else { Urgency::State };
+        self.spreading.queue.push(id, urgency, false);
     }
 
     /// Ends accusations of versions below the one that was heard.
@@ -267,7 +274,8 @@
         if self.settings.mechanisms.has_tombstones && has_room {
             let until_ms = now_ms + self.settings.tombstone_ms;
             self.table.tombstones.insert(id, Tombstone { until_ms, has_left });
-            self.spreading.queue.push(id, Urgency::State, false);
+            let urgency = if has_left { Urgency::Change } else { Urgency::State };
+            self.spreading.queue.push(id, urgency, false);
         }
     }
 
--- a/crates/membership/src/protocol/update_queue.rs
+++ b/crates/membership/src/protocol/update_queue.rs
@@ -7,7 +7,9 @@
 /// a drain reaches all members in time during a storm of suspicions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Urgency {
-    /// Alive records and departures.
+    /// Changes of a backend server's state and departures.
+    Change,
+    /// Other news of live members: joins and refutations.
     State,
     /// Dead or unreachable.
     Loss,
@@ -16,11 +18,21 @@
 }
 
 impl Urgency {
+    /// Transmissions of an update. A change of state has half as many again, because a member that
+    /// misses it would go on sending work to a draining server.
+    fn transmits(self, transmits: u32) -> u32 {
+        match self {
+            Self::Change => transmits + transmits / 2,
+            Self::State | Self::Loss | Self::Suspicion => transmits,
+        }
+    }
+
     /// Transmissions by which an update is put back. The first ones of a change of state, which
     /// reach nearly all members, go before any suspicion.
     fn handicap(self) -> u32 {
         match self {
-            Self::State => 0,
+            Self::Change => 0,
+            Self::State => 3,
             Self::Loss | Self::Suspicion => 6,
         }
     }
@@ -56,7 +68,12 @@
     /// Queues news of a member. The whole record stays requested until it has been sent often
     /// enough, even if a shorter update follows.
     pub fn push(&mut self, instance: InstanceId, urgency: Urgency, is_full: bool) {
-        let was_full = self.remove(instance).is_some_and(|old| old.is_full);
+        let old = self.remove(instance);
+        let was_full = old.is_some_and(|old| old.is_full);
+        // A refutation that follows a change of state carries that change.
+        let was_change = old.is_some_and(|old| old.place.urgency == Urgency::Change);
+        let is_state = urgency == Urgency::State;
+        let urgency = if was_change && is_state { Urgency::Change } else { urgency };
         self.counter += 1;
         let newest_first = u64::MAX - self.counter;
         let place = Place { rank: urgency.handicap(), urgency, newest_first, instance };
@@ -79,7 +96,8 @@
     pub fn sent(&mut self, instance: InstanceId, max_transmits: u32) {
         let Some(mut queued) = self.remove(instance) else { return };
         queued.place.rank += 1;
-        if queued.place.rank < max_transmits + queued.place.urgency.handicap() {
+        let urgency = queued.place.urgency;
+        if queued.place.rank < urgency.transmits(max_transmits) + urgency.handicap() {
             self.places.insert(queued.place);
             self.index.insert(instance, queued);
         }
