Count and log refused datagrams, frames and commands at a bounded rate

Cause: the counters of the membership driver were never sent as metrics, so datagrams with a wrong deployment key were logged but not counted anywhere that an operator sees. Replica frames, control requests and commands without the right key were logged once each, so a flood of them filled the log, and were not counted.

Change: the membership service passes the growth of its counters on to the metrics once a second. Refusals of the control side are counted as replica.dropped, control.dropped and control.unauthorized, with at most one log line a second and the number of lines left out.

Ruled out: a metrics receiver inside the membership driver, which would tie it to the daemon.

--- a/crates/tarragond/src/app/node.rs
+++ b/crates/tarragond/src/app/node.rs
@@ -37,6 +37,7 @@
 use crate::control::ControlQuery;
 use crate::control::ControlRequest;
 use crate::control::OperatorKey;
+use crate::control::Refusals;
 use crate::control::RemoteLog;
 use crate::datapath::DataPath;
 use crate::datapath::DataPathSettings;
@@ -101,6 +102,8 @@
         let operator_key =
             OperatorKey::from_file(&settings.operator_key_file).change_context(AppError::Keys)?;
         let instance = InstanceId(random());
+        let metrics = metrics(&settings)?;
+        let refusals = |metric| Refusals::new(metric, Arc::clone(&metrics));
         info!("kernel: node {} is instance {instance}", settings.node_name);
 
         let (copy_sender, copy) = watch::channel(Arc::default());
@@ -111,7 +114,9 @@
             ReplicaAddresses::new(Arc::clone(&directory), settings.control_replicas.clone());
         let announcements = Arc::new(Announcements::default());
 
-        let replica = open_replica(&settings, &addresses, &deployment_key).await?;
+        let replica =
+            open_replica(&settings, &addresses, &deployment_key, refusals("replica.dropped"))
+                .await?;
         let (replica, own_log) = replica.map_or((None, None), |(r, l)| (Some(r), Some(l)));
         let membership = MembershipService::bind(MembershipServiceParts {
             own: own_record(&settings, instance),
@@ -126,6 +131,7 @@
             wanted: wanted_sender,
             backend: announcements.status(),
             catalogue: copy.clone(),
+            metrics: Arc::clone(&metrics),
         });
         let membership = Arc::new(membership.await.change_context(AppError::Bind("membership"))?);
         let follower = CatalogueFollower::new(CatalogueFollowerParts {
@@ -158,6 +164,8 @@
             gate: Arc::clone(&gate) as _,
             deployment_key: deployment_key.clone(),
             operator_key,
+            refused_commands: refusals("control.unauthorized"),
+            refused_requests: refusals("control.dropped"),
         };
         let api = ControlApi::bind(settings.listen.control_address, context)
             .change_context(AppError::Bind("control"))?;
@@ -175,7 +183,7 @@
             directory,
             backend: Arc::clone(&announcements) as _,
             claims: Arc::new(LogClaims::new(Arc::clone(&log), settings.limits.key_retention_s)),
-            metrics: metrics(&settings)?,
+            metrics,
             extension: None,
         };
         Ok(Self {
@@ -334,6 +342,7 @@
     settings: &Settings,
     addresses: &ReplicaAddresses,
     key: &DeploymentKey,
+    refused: Refusals,
 ) -> Result<Option<(ReplicaService, Arc<dyn ControlLog>)>, Report<AppError>> {
     let (Some(data_dir), Some(replica_address)) =
         (&settings.data_dir, settings.listen.replica_address)
@@ -346,6 +355,7 @@
         replica_address,
         addresses: addresses.clone(),
         deployment_key: key.clone(),
+        refused,
     };
     let (service, log): (ReplicaService, ReplicaLog) =
         ReplicaService::open(parts).await.change_context(AppError::Storage)?;
--- a/crates/tarragond/src/control/api/api_context.rs
+++ b/crates/tarragond/src/control/api/api_context.rs
@@ -8,7 +8,6 @@
 use tarragon_consensus::driver::ReplicaHandle;
 use tarragon_model::identity::InstanceId;
 use tarragon_wire::DeploymentKey;
-use tracing::warn;
 
 use crate::backend::Announcements;
 use crate::control::ControlAnswer;
@@ -17,6 +16,7 @@
 use crate::control::ControlRequest;
 use crate::control::GateView;
 use crate::control::OperatorKey;
+use crate::control::Refusals;
 use crate::directory::Directory;
 use crate::replica::ReplicaAddresses;
 
@@ -46,6 +46,10 @@
     pub deployment_key: DeploymentKey,
     /// Secret of the operators.
     pub operator_key: OperatorKey,
+    /// Commands without the operators' secret.
+    pub refused_commands: Refusals,
+    /// Control requests without the nodes' secret.
+    pub refused_requests: Refusals,
 }
 
 impl ApiContext {
@@ -76,10 +80,9 @@
     if bearer.is_some_and(|bearer| request.context().operator_key.is_matched_by(bearer)) {
         return Ok(());
     }
-    warn!(
-        "note: refused a command without the operator key from {}",
-        request.request.remote_addr()
-    );
+    let from = request.request.remote_addr();
+    let line = || format!("note: refused a command without the operator key from {from}");
+    request.context().refused_commands.record(line);
     Err(HttpError::for_client_error(
         None,
         ClientErrorStatusCode::UNAUTHORIZED,
--- a/crates/tarragond/src/control/api/internal.rs
+++ b/crates/tarragond/src/control/api/internal.rs
@@ -14,7 +14,6 @@
 use tarragon_wire::open;
 use tarragon_wire::seal;
 use tarragon_wire::Channel;
-use tracing::warn;
 
 use crate::control::api::ApiContext;
 use crate::control::ControlFailure;
@@ -37,7 +36,9 @@
     let message =
         open::<ControlRequest>(&context.deployment_key, Channel::Replica, body.as_bytes());
     let message = message.map_err(|e| {
-        warn!("note: dropped a control request from {}: {e}", request.request.remote_addr());
+        let from = request.request.remote_addr();
+        let line = || format!("note: dropped a control request from {from}: {e}");
+        context.refused_requests.record(line);
         HttpError::for_client_error(None, ClientErrorStatusCode::FORBIDDEN, e.to_string())
     })?;
     let reply: ControlReply = match &context.own_log {
--- a/crates/tarragond/src/control/mod.rs
+++ b/crates/tarragond/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod gate_view;
 mod local_log;
 mod operator_key;
+mod refusals;
 mod remote_log;
 
 pub use control_log::ControlFailure;
@@ -22,4 +23,5 @@
 pub use gate_view::GateView;
 pub use local_log::LocalLog;
 pub use operator_key::OperatorKey;
+pub use refusals::Refusals;
 pub use remote_log::RemoteLog;
--- a/crates/tarragond/src/members/membership_service.rs
+++ b/crates/tarragond/src/members/membership_service.rs
@@ -20,11 +20,15 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::backend::BackendStatus;
+use crate::datapath::Metrics;
 use crate::members::ControlFullState;
 
 /// Time between checks for what only time changes in the own backend server, in ms.
 const LOCAL_CHECK_INTERVAL_MS: u64 = 1_000;
 
+/// Time between two reports of the protocol's counters, in ms.
+const COUNT_INTERVAL_MS: u64 = 1_000;
+
 /// What the membership service works with.
 pub struct MembershipServiceParts {
     /// Record of this node.
@@ -43,6 +47,8 @@
     pub backend: watch::Receiver<BackendStatus>,
     /// The node's copy of the catalogue.
     pub catalogue: watch::Receiver<Arc<Catalogue>>,
+    /// Receiver of the protocol's counters.
+    pub metrics: Arc<dyn Metrics>,
 }
 
 /// Runs the membership protocol and connects it to the rest of the node.
@@ -53,6 +59,7 @@
     wanted: watch::Sender<u64>,
     backend: watch::Receiver<BackendStatus>,
     catalogue: watch::Receiver<Arc<Catalogue>>,
+    metrics: Arc<dyn Metrics>,
 }
 
 impl MembershipService {
@@ -78,6 +85,7 @@
             wanted: parts.wanted,
             backend: parts.backend,
             catalogue: parts.catalogue,
+            metrics: parts.metrics,
         })
     }
 
@@ -105,6 +113,22 @@
         }
     }
 
+    /// Passes the growth of the protocol's counters on to the metrics.
+    async fn count(&self) {
+        let mut interval = tokio::time::interval(Duration::from_millis(COUNT_INTERVAL_MS));
+        let mut counted = self.handle.counters().values();
+        loop {
+            interval.tick().await;
+            let present = self.handle.counters().values();
+            for ((name, value), (_, earlier)) in present.iter().zip(counted) {
+                if *value > earlier {
+                    self.metrics.count(name, value - earlier);
+                }
+            }
+            counted = present;
+        }
+    }
+
     /// Tells the members about this node's backend server and catalogue.
     async fn tell_changes(&self) {
         let mut backend = self.backend.clone();
@@ -147,6 +171,7 @@
             () = driver.run(driver_stop.clone()) => {}
             () = self.publish_changes() => {}
             () = self.tell_changes() => {}
+            () = self.count() => {}
             () = leaving => {}
         }
         Ok(())
--- a/crates/tarragond/src/replica/listener.rs
+++ b/crates/tarragond/src/replica/listener.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +18,8 @@
 use tracing::debug;
 use tracing::warn;
 
+use crate::control::Refusals;
+
 /// Most connections from replicas at once, several times the number of replicas.
 const MAX_CONNECTIONS: usize = 64;
 
@@ -27,13 +30,23 @@
 const ACCEPT_PAUSE_MS: u64 = 100;
 
 /// Takes messages from other replicas until dropped; its connections end with it.
-pub async fn run_listener(listener: TcpListener, replica: ReplicaHandle, key: DeploymentKey) {
+pub async fn run_listener(
+    listener: TcpListener,
+    replica: ReplicaHandle,
+    key: DeploymentKey,
+    refused: Arc<Refusals>,
+) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, from)) if connections.len() < MAX_CONNECTIONS => {
-                    connections.spawn(serve(stream, from, replica.clone(), key.clone()));
+                    connections.spawn(serve(
+                        stream,
+                        from,
+                        replica.clone(),
+                        (key.clone(), Arc::clone(&refused)),
+                    ));
                 }
                 Ok((_, from)) => warn!("log: too many connections, closed the one from {from}"),
                 Err(e) => {
@@ -48,7 +61,12 @@
 
 /// Reads messages and acknowledges each with an empty frame. A connection whose message is not
 /// authentic is closed, since nothing after it can be trusted.
-async fn serve(stream: TcpStream, from: SocketAddr, replica: ReplicaHandle, key: DeploymentKey) {
+async fn serve(
+    stream: TcpStream,
+    from: SocketAddr,
+    replica: ReplicaHandle,
+    (key, refused): (DeploymentKey, Arc<Refusals>),
+) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
@@ -58,7 +76,7 @@
         match open::<Message>(&key, Channel::Replica, &frame) {
             Ok(message) => replica.receive(message),
             Err(e) => {
-                warn!("log: closed the connection from {from}: {e}");
+                refused.record(|| format!("log: closed the connection from {from}: {e}"));
                 return;
             }
         }
--- a/crates/tarragond/src/replica/replica_service.rs
+++ b/crates/tarragond/src/replica/replica_service.rs
@@ -23,6 +23,7 @@
 use tokio_util::task::TaskTracker;
 use tracing::info;
 
+use crate::control::Refusals;
 use crate::replica::listener::run_listener;
 use crate::replica::tcp_transport::TcpTransport;
 use crate::replica::ControlMachine;
@@ -41,6 +42,8 @@
     pub addresses: ReplicaAddresses,
     /// Secret of the nodes.
     pub deployment_key: DeploymentKey,
+    /// Frames without the secret of the nodes.
+    pub refused: Refusals,
 }
 
 /// Runs the control replica of this node.
@@ -50,6 +53,7 @@
     transport: Arc<TcpTransport>,
     tasks: TaskTracker,
     key: DeploymentKey,
+    refused: Arc<Refusals>,
 }
 
 impl ReplicaService {
@@ -70,7 +74,7 @@
             .await
             .change_context_lazy(failure(format!("replica at {}", parts.replica_address)))?;
         let tasks = TaskTracker::new();
-        let key = parts.deployment_key;
+        let (key, refused) = (parts.deployment_key, parts.refused);
         let transport = Arc::new(TcpTransport::new(parts.addresses, key.clone(), tasks.clone()));
         let (machine, state, catalogue) = ControlMachine::new();
         let (driver, handle) = Driver::new(DriverParts {
@@ -83,9 +87,10 @@
             seed: random(),
         })
         .change_context_lazy(failure("restoring the snapshot".into()))?;
+        let refused = Arc::new(refused);
         let log = ReplicaLog::new(handle.clone(), state, catalogue);
         let parts = Mutex::new(Some((driver, listener)));
-        Ok((Self { parts, handle, transport, tasks, key }, log))
+        Ok((Self { parts, handle, transport, tasks, key, refused }, log))
     }
 
     /// Access to the replica.
@@ -107,9 +112,10 @@
     ) -> Result<(), Report<KernelError>> {
         let parts = self.parts.lock().expect("no holder of the lock panics").take();
         let (driver, listener) = parts.expect("the kernel runs a service once");
+        let (handle, key) = (self.handle.clone(), self.key.clone());
         let result = tokio::select! {
             result = driver.run(stop) => result,
-            () = run_listener(listener, self.handle.clone(), self.key.clone()) => Ok(()),
+            () = run_listener(listener, handle, key, Arc::clone(&self.refused)) => Ok(()),
         };
         self.tasks.close();
         self.transport.close();
