--- a/crates/model/src/check/parse.rs
+++ b/crates/model/src/check/parse.rs
@@ -22,7 +22,11 @@
     if !mistakes.is_empty() {
         return Err(mistakes);
     }
-    serde_json::from_value(value).map_err(|e| vec![Mistake::new("$", e.to_string())])
+    // The schema does not know the form of an address, so such a mistake shows only here.
+    serde_path_to_error::deserialize(value).map_err(|e| {
+        let path = format!("$.{}", e.path());
+        vec![Mistake::new(path, e.into_inner().to_string())]
+    })
 }
 
 /// Turns a JSON pointer into the path notation used in messages.
--- a/crates/tarragond/src/members/membership_service.rs
+++ b/crates/tarragond/src/members/membership_service.rs
@@ -27,7 +27,7 @@
 const LOCAL_CHECK_INTERVAL_MS: u64 = 1_000;
 
 /// Time between two reports of the protocol's counters, in ms.
-const COUNT_INTERVAL_MS: u64 = 10_000;
+const COUNT_INTERVAL_MS: u64 = 1_000;
 
 /// What the membership service works with.
 pub struct MembershipServiceParts {
@@ -47,7 +47,7 @@
     pub backend: watch::Receiver<BackendStatus>,
     /// The node's copy of the catalogue.
     pub catalogue: watch::Receiver<Arc<Catalogue>>,
-    /// Receiver of counters.
+    /// Receiver of the protocol's counters.
     pub metrics: Arc<dyn Metrics>,
 }
 
@@ -113,6 +113,22 @@
         }
     }
 
+    /// Passes the growth of the protocol's counters on to the metrics.
+    async fn count(&self) {
+        let mut interval = tokio::time::interval(Duration::from_millis(COUNT_INTERVAL_MS));
+        let mut counted = self.handle.counters().values();
+        loop {
+            interval.tick().await;
+            let present = self.handle.counters().values();
+            for ((name, value), (_, earlier)) in present.iter().zip(counted) {
+                if *value > earlier {
+                    self.metrics.count(name, value - earlier);
+                }
+            }
+            counted = present;
+        }
+    }
+
     /// Tells the members about this node's backend server and catalogue.
     async fn tell_changes(&self) {
         let mut backend = self.backend.clone();
@@ -129,20 +145,6 @@
             }
         }
     }
-
-    /// Sends the growth of the protocol's counters to the metrics.
-    async fn count(&self) {
-        let mut sent = self.handle.counters().values();
-        let interval = Duration::from_millis(COUNT_INTERVAL_MS);
-        loop {
-            tokio::time::sleep(interval).await;
-            let values = self.handle.counters().values();
-            for ((name, value), (_, before)) in values.iter().zip(sent) {
-                self.metrics.count(name, value - before);
-            }
-            sent = values;
-        }
-    }
 }
 
 #[async_trait]
--- a/crates/tarragond/tests/control/settings.rs
+++ b/crates/tarragond/tests/control/settings.rs
@@ -74,6 +74,15 @@
     assert!(text.contains("$.limits.retry_tokens:"), "{text}");
 }
 
+/// Guards against a malformed address that is reported without its place.
+#[test]
+fn a_malformed_address_is_reported_with_its_path() {
+    let mut settings = valid();
+    settings["control_replicas"][0]["control_address"] = json!("north-1:7104");
+    let text = mistakes(&settings);
+    assert!(text.contains("$.control_replicas[0].control_address:"), "{text}");
+}
+
 #[test]
 fn a_missing_file_is_named() {
     let report = load_settings(Path::new("no-such-settings.json")).unwrap_err();
