--- a/crates/policy/examples/measure_chain.rs
+++ b/crates/policy/examples/measure_chain.rs
@@ -7,6 +7,8 @@
 
 #[path = "measure_chain/deployment.rs"]
 mod deployment;
+#[path = "measure_chain/event.rs"]
+mod event;
 #[path = "measure_chain/fake_server.rs"]
 mod fake_server;
 #[path = "measure_chain/node.rs"]
--- a/crates/policy/examples/measure_chain/world.rs
+++ b/crates/policy/examples/measure_chain/world.rs
@@ -33,6 +33,13 @@
 use crate::deployment::REMOTE_DELAY_US;
 use crate::deployment::SECOND_US;
 use crate::deployment::SERVICES;
+use crate::event::Call;
+use crate::event::Caller;
+use crate::event::End;
+use crate::event::Event;
+use crate::event::Execution;
+use crate::event::Origin;
+use crate::event::Stage;
 use crate::node::Node;
 use crate::node::Version;
 use crate::record::Record;
@@ -43,74 +50,6 @@
 /// Mean pause before a retry between nodes, in µs.
 const RETRY_PAUSE_US: u64 = 5_000;
 
-/// What a call returns to the hop above.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum End {
-    Answered,
-    NotRun,
-    /// A hop below failed, or the deadline passed.
-    Failed,
-}
-
-#[derive(Debug, Clone, Copy)]
-enum Event {
-    Arrival,
-    Enter(Caller),
-    Call(u64),
-    Arrive(u64),
-    Answer { call: u64, end: End, tokens: u32, advice: AdmissionAdvice },
-    ServerDue { node: usize, version: u64 },
-    GateDue { node: usize },
-    Deadline(u64),
-    Speed { service: usize, percent: u32 },
-}
-
-/// On whose behalf a call is made.
-#[derive(Debug, Clone, Copy)]
-struct Origin {
-    /// Execution that makes the call; none at the entry.
-    parent: Option<u64>,
-    caller: Caller,
-    request_id: RequestId,
-    span: SpanId,
-    deadline_us: u64,
-}
-
-/// A call from a node to a service, with its retries.
-struct Call {
-    node: usize,
-    service: usize,
-    origin: Origin,
-    excluded: Vec<InstanceId>,
-    target: usize,
-    sent_us: u64,
-    lent: u32,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Caller {
-    operation: usize,
-    tries: u32,
-    first_us: u64,
-}
-
-#[derive(PartialEq, Eq)]
-enum Stage {
-    Waiting,
-    Working,
-    Calling,
-}
-
-/// A request at a gate.
-struct Execution {
-    call: u64,
-    node: usize,
-    span: SpanId,
-    ticket: Option<Ticket>,
-    stage: Stage,
-    started_us: u64,
-}
-
 pub struct World {
     now_us: u64,
     random: Pcg64Mcg,
