Keep the history of notes out of copies and bound the list of notes

Change: the list holds the latest 1,000 notes, a note is found by its id, and nodes get the catalogue without the history.

Ruled out: dropping old notes; a note that is sent again must get its first answer at any later time.

--- a/crates/model/src/api/status.rs
+++ b/crates/model/src/api/status.rs
@@ -48,7 +48,7 @@
     pub id: String,
 }
 
-/// The accepted release notes.
+/// The latest accepted release notes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct NoteList {
     /// Revision of the catalogue.
--- a/crates/model/src/catalogue/state.rs
+++ b/crates/model/src/catalogue/state.rs
@@ -68,6 +68,26 @@
         &self.accepted
     }
 
+    /// A copy for nodes, which need no accepted notes. Those grow with every note for ever, and
+    /// copying them with each change would cost more the older the deployment is.
+    pub fn without_history(&self) -> Self {
+        Self {
+            revision: self.revision,
+            services: self.services.clone(),
+            service_revisions: self.service_revisions.clone(),
+            withdrawn_revisions: self.withdrawn_revisions.clone(),
+            importance: self.importance.clone(),
+            importance_revision: self.importance_revision,
+            accepted: Vec::new(),
+        }
+    }
+
+    /// Revision of an accepted note.
+    pub fn find_note(&self, id: &str) -> Option<u64> {
+        let at = self.accepted.iter().position(|accepted| accepted.id == id)?;
+        u64::try_from(at + 1).ok()
+    }
+
     /// Applies a submitted note. The answer depends on nothing but the earlier notes.
     pub fn submit(&mut self, note: &ReleaseNote) -> SubmitAnswer {
         let digest = note.digest();
@@ -83,7 +103,7 @@
         if note.id.is_empty() {
             mistakes.push(Mistake::new("$.id", "must not be empty"));
         }
-        if self.accepted.iter().any(|accepted| accepted.id == note.id) {
+        if self.find_note(&note.id).is_some() {
             mistakes.push(Mistake::new("$.id", "an accepted note of another version has this id"));
         }
         if !mistakes.is_empty() {
--- a/crates/tarragond/src/control/api/notes.rs
+++ b/crates/tarragond/src/control/api/notes.rs
@@ -50,13 +50,16 @@
     }
 }
 
-/// Lists the accepted release notes.
+/// Lists the latest accepted release notes, at most 1,000.
 #[endpoint { method = GET, path = "/v1/notes" }]
 pub async fn list_notes(
     request: RequestContext<Arc<ApiContext>>,
 ) -> Result<HttpResponseOk<NoteList>, HttpError> {
     require_operator(&request)?;
-    accepted_notes(request.context()).await.map(HttpResponseOk)
+    match request.context().ask(&ControlRequest::Read(ControlQuery::Notes)).await? {
+        ControlAnswer::Notes(notes) => Ok(HttpResponseOk(notes)),
+        _ => Err(HttpError::for_internal_error("the log gave another kind of answer".into())),
+    }
 }
 
 /// Tells whether a release note was accepted and where it is in force.
@@ -67,19 +70,15 @@
 ) -> Result<HttpResponseOk<NoteStatus>, HttpError> {
     require_operator(&request)?;
     let id = path.into_inner().id;
-    let notes = accepted_notes(request.context()).await?.notes;
-    let revision = notes.iter().find(|note| note.id == id).map(|note| note.version);
-    let data_centres = data_centre_progress(request.context(), revision.unwrap_or(u64::MAX));
+    let context = request.context();
+    let query = ControlRequest::Read(ControlQuery::Note(id.clone()));
+    let ControlAnswer::NoteRevision(revision) = context.ask(&query).await? else {
+        return Err(HttpError::for_internal_error("the log gave another kind of answer".into()));
+    };
+    let data_centres = data_centre_progress(context, revision.unwrap_or(u64::MAX));
     Ok(HttpResponseOk(NoteStatus { id, revision, data_centres }))
 }
 
-async fn accepted_notes(context: &ApiContext) -> Result<NoteList, HttpError> {
-    match context.ask(&ControlRequest::Read(ControlQuery::Notes)).await? {
-        ControlAnswer::Notes(notes) => Ok(notes),
-        _ => Err(HttpError::for_internal_error("the log gave another kind of answer".into())),
-    }
-}
-
 /// Counts by data centre the nodes that this node knows and those that have reached a revision.
 fn data_centre_progress(context: &ApiContext, revision: u64) -> Vec<DataCentreRevision> {
     let mut counts: BTreeMap<String, (u32, u32)> = BTreeMap::new();
--- a/crates/tarragond/src/control/control_state.rs
+++ b/crates/tarragond/src/control/control_state.rs
@@ -9,6 +9,9 @@
 use tarragon_model::identity::InstanceId;
 use tarragon_model::note::ReleaseNote;
 
+/// Most release notes in one answer, so that it fits into a message however old the deployment is.
+const MAX_LISTED_NOTES: usize = 1_000;
+
 /// A change that goes through the replicated log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ControlCommand {
@@ -39,8 +42,10 @@
 /// A question that changes nothing.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ControlQuery {
-    /// The accepted release notes.
+    /// The latest accepted release notes.
     Notes,
+    /// The revision of one release note, by its id.
+    Note(String),
     /// The revision of the catalogue.
     Revision,
 }
@@ -52,8 +57,10 @@
     Submit(SubmitAnswer),
     /// Instance that owns the claimed key.
     Owner(InstanceId),
-    /// The accepted notes.
+    /// The latest accepted notes.
     Notes(NoteList),
+    /// Revision of a note; none if it was not accepted.
+    NoteRevision(Option<u64>),
     /// The replicas are as asked for.
     ReplicasChanged,
     /// The revision of the catalogue.
@@ -98,13 +105,16 @@
     pub fn query(&self, query: &ControlQuery) -> ControlAnswer {
         match query {
             ControlQuery::Notes => {
-                let accepted = self.catalogue.accepted().iter().zip(1..);
-                let notes = accepted.map(|(n, version)| NoteEntry { version, id: n.id.clone() });
+                let accepted = self.catalogue.accepted();
+                let first = accepted.len().saturating_sub(MAX_LISTED_NOTES);
+                let listed = accepted.iter().zip(1..).skip(first);
+                let notes = listed.map(|(n, version)| NoteEntry { version, id: n.id.clone() });
                 ControlAnswer::Notes(NoteList {
                     revision: self.catalogue.revision(),
                     notes: notes.collect(),
                 })
             }
+            ControlQuery::Note(id) => ControlAnswer::NoteRevision(self.catalogue.find_note(id)),
             ControlQuery::Revision => ControlAnswer::Revision(self.catalogue.revision()),
         }
     }
--- a/crates/tarragond/src/replica/control_machine.rs
+++ b/crates/tarragond/src/replica/control_machine.rs
@@ -31,7 +31,7 @@
 
     fn publish(&self, state: &ControlState) {
         if self.catalogue.borrow().revision() != state.catalogue().revision() {
-            self.catalogue.send_replace(Arc::new(state.catalogue().clone()));
+            self.catalogue.send_replace(Arc::new(state.catalogue().without_history()));
         }
     }
 }
--- a/crates/tarragond/tests/control/control_state.rs
+++ b/crates/tarragond/tests/control/control_state.rs
@@ -1,10 +1,12 @@
 use std::collections::HashMap;
 
 use tarragon_model::identity::InstanceId;
+use tarragon_model::note::ReleaseNote;
 use tarragon_testkit::check;
 use tarragond::control::ClaimKey;
 use tarragond::control::ControlAnswer;
 use tarragond::control::ControlCommand;
+use tarragond::control::ControlQuery;
 use tarragond::control::ControlState;
 
 const RETENTION_S: u64 = 10;
@@ -72,3 +74,30 @@
         assert_eq!(owner(&mut restored, &key, at, at), owner(&mut original, &key, at, at));
     }
 }
+
+/// Guards against a list of notes that outgrows a message, and against a note that can no longer
+/// be found once it has left the list.
+#[test]
+fn a_long_history_is_listed_in_part_and_searched_whole() {
+    let mut state = ControlState::default();
+    for version in 1..=1_200 {
+        let (id, nothing) = (format!("note-{version}"), Vec::new);
+        let note = ReleaseNote {
+            id,
+            version,
+            add: nothing(),
+            change: nothing(),
+            withdraw: Vec::new(),
+            importance: None,
+        };
+        state.apply(&ControlCommand::Submit(note));
+    }
+    let ControlAnswer::Notes(list) = state.query(&ControlQuery::Notes) else {
+        panic!("the notes were not listed")
+    };
+    assert_eq!((list.revision, list.notes.len()), (1_200, 1_000));
+    assert_eq!(list.notes.last().map(|note| note.version), Some(1_200));
+    let find = |id: &str| state.query(&ControlQuery::Note(id.into()));
+    assert_eq!(find("note-1"), ControlAnswer::NoteRevision(Some(1)));
+    assert_eq!(find("note-1201"), ControlAnswer::NoteRevision(None));
+}
