Keep stop signals that arrive while the data path is bound

Cause: each wait for SIGTERM made its own receiver, so a signal between two waits was lost; and after a failed service the node waited for a signal instead of ending. Found by reading.

Change: one receiver for the life of the process; the drain is given up when the data path has ended by itself.

Measured: the process tests of SIGTERM and SIGKILL pass; the race itself has no test.

--- a/crates/tarragond/src/app/node.rs
+++ b/crates/tarragond/src/app/node.rs
@@ -1,3 +1,4 @@
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,7 +21,7 @@
 use crate::app::late_gate::LateGate;
 use crate::app::logging::start_logging;
 use crate::app::policies::policies;
-use crate::app::shutdown::stop_requested;
+use crate::app::shutdown::StopSignals;
 use crate::app::statsd::StatsdMetrics;
 use crate::app::AppError;
 use crate::backend::Announcements;
@@ -79,7 +80,10 @@
 pub fn run_node(settings: Settings) -> Result<(), Report<AppError>> {
     start_logging(&settings.log)?;
     let runtime = tokio::runtime::Runtime::new().change_context(AppError::Runtime)?;
-    runtime.block_on(async { Node::build(settings).await?.run().await })
+    runtime.block_on(async {
+        let signals = StopSignals::new();
+        Node::build(settings).await?.run(signals).await
+    })
 }
 
 /// The control side of a node, and what its data path will be built from.
@@ -200,12 +204,12 @@
     }
 
     /// Runs the control side, and the data path from readiness to the end of the drain.
-    async fn run(self) -> Result<(), Report<AppError>> {
+    async fn run(self, signals: StopSignals) -> Result<(), Report<AppError>> {
         let kernel = Arc::new(Kernel::new());
         let control_stop = CancellationToken::new();
         let control = Arc::clone(&kernel).run(self.control_services.clone(), control_stop.clone());
         let data = async {
-            let result = self.run_data_path(kernel, &control_stop).await;
+            let result = self.run_data_path(kernel, signals, &control_stop).await;
             control_stop.cancel();
             result
         };
@@ -216,12 +220,13 @@
     async fn run_data_path(
         self,
         kernel: Arc<Kernel>,
+        mut signals: StopSignals,
         control_stop: &CancellationToken,
     ) -> Result<(), Report<AppError>> {
         tokio::select! {
             () = self.ready() => {}
             () = control_stop.cancelled() => return Ok(()),
-            () = stop_requested() => return Ok(()),
+            () = signals.requested() => return Ok(()),
         }
         let settings = data_path_settings(&self.settings);
         let policies = policies(&self.settings, self.environment.instance);
@@ -232,10 +237,10 @@
         let revision = self.copy.borrow().revision();
         info!("kernel: callers are served, revision {revision} is in force");
         let data_stop = CancellationToken::new();
-        let running = kernel.run(data_path.services(), data_stop.clone());
-        let stopping = async {
+        let mut running = pin!(kernel.run(data_path.services(), data_stop.clone()));
+        let drained = async {
             tokio::select! {
-                () = stop_requested() => {}
+                () = signals.requested() => {}
                 () = control_stop.cancelled() => {}
             }
             info!("drain: stop requested");
@@ -246,7 +251,11 @@
             info!("drain: no request is in progress");
             data_stop.cancel();
         };
-        let (result, ()) = tokio::join!(running, stopping);
+        let result = tokio::select! {
+            // The services end by themselves only if one of them failed.
+            result = &mut running => result,
+            () = drained => running.await,
+        };
         result.change_context(AppError::Run)
     }
 
--- a/crates/tarragond/tests/datapath/main.rs
+++ b/crates/tarragond/tests/datapath/main.rs
@@ -1,7 +1,7 @@
 //! Failure tests of the data path: nodes and fake backend servers in this process, on loopback.
 
 // Helpers of tests may unwrap like tests; the lint's exception covers only test functions.
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic like the tests themselves")]
 
 mod answers;
 mod calls;
--- a/crates/tarragond/tests/processes/main.rs
+++ b/crates/tarragond/tests/processes/main.rs
@@ -2,7 +2,7 @@
 //! loopback, and fake backend servers run in the test.
 
 // Helpers of tests may unwrap like tests; the lint's exception covers only test functions.
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic like the tests themselves")]
 
 mod leader_loss;
 mod lost_disk;
