Remove the unused extension of the peer listener

Cause: catalogue changes and member lists go over the control API, so nothing used the requests that the peer listener handed on.

Change: unknown paths are refused with 404.

Measured: the data path tests pass.

--- a/crates/tarragond/src/app/node.rs
+++ b/crates/tarragond/src/app/node.rs
@@ -188,7 +188,6 @@
             backend: Arc::clone(&announcements) as _,
             claims: Arc::new(LogClaims::new(Arc::clone(&log), settings.limits.key_retention_s)),
             metrics,
-            extension: None,
         };
         Ok(Self {
             settings,
--- a/crates/tarragond/src/datapath/data_path.rs
+++ b/crates/tarragond/src/datapath/data_path.rs
@@ -32,7 +32,6 @@
 use crate::gate::GateParts;
 use crate::gate::GateService;
 use crate::peer::PeerAuth;
-use crate::peer::PeerExtension;
 use crate::peer::PeerServer;
 use crate::peer::Peers;
 use crate::peer::PeersParts;
@@ -84,8 +83,6 @@
     pub claims: Arc<dyn KeyClaims>,
     /// Receiver of counters and timings.
     pub metrics: Arc<dyn Metrics>,
-    /// Answers requests on the peer listener that are not part of the data path.
-    pub extension: Option<Arc<dyn PeerExtension>>,
 }
 
 /// Listeners, gate and peer connections of one node. The listeners are bound; their connections
@@ -112,8 +109,7 @@
     ) -> Result<Self, Report<BindError>> {
         let settings = Arc::new(settings);
         let clock = Clock::default();
-        let Environment { instance, key, directory, backend, claims, metrics, extension } =
-            environment;
+        let Environment { instance, key, directory, backend, claims, metrics } = environment;
         let route = Arc::new(Mutex::new(policies.route));
         let retry = Arc::new(Mutex::new(policies.retry));
         let auth = PeerAuth::new(key.clone());
@@ -166,8 +162,7 @@
         let exit = Http1Listener::bind("exit", address, handler, limits, listeners.token()).await;
         let exit = exit.change_context(BindError { setting: "exit_address", address })?;
         let address = settings.peer_address;
-        let peer =
-            PeerServer::bind(Arc::clone(&gate), instance, auth, extension, listeners.token()).await;
+        let peer = PeerServer::bind(Arc::clone(&gate), instance, auth, listeners.token()).await;
         let peer = peer.change_context(BindError { setting: "peer_address", address })?;
         let route_table = RouteTable::new(
             settings,
--- a/crates/tarragond/src/peer/mod.rs
+++ b/crates/tarragond/src/peer/mod.rs
@@ -8,7 +8,6 @@
 mod peers;
 
 pub use auth::PeerAuth;
-pub use peer_server::PeerExtension;
 pub use peer_server::PeerServer;
 pub use peers::CallError;
 pub use peers::Peers;
@@ -29,8 +28,6 @@
 /// Cancelled streams that a connection tolerates at once. The library's limits are low because of
 /// floods by strangers; between nodes, callers who give up under overload cancel as many.
 const MAX_RESET_STREAMS: usize = 100_000;
-/// Largest request to an extension of the peer listener, and largest answer, in bytes.
-const MAX_EXTENSION_BYTES: usize = 16 * 1024 * 1024;
 /// Largest headers of an answer from a peer, in bytes. The library's 16 KB are less than a backend
 /// server may send to its own node.
 const MAX_ANSWER_HEADER_BYTES: u32 = 512 * 1024;
--- a/crates/tarragond/src/peer/peer_server.rs
+++ b/crates/tarragond/src/peer/peer_server.rs
@@ -6,7 +6,6 @@
 use std::time::Instant;
 
 use async_trait::async_trait;
-use bytes::Bytes;
 use error_stack::Report;
 use http::HeaderMap;
 use http::HeaderName;
@@ -15,8 +14,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
@@ -45,12 +42,10 @@
 use crate::peer::CONNECTION_WINDOW_BYTES;
 use crate::peer::FENCE_PATH;
 use crate::peer::HEARTBEAT_PATH;
-use crate::peer::MAX_EXTENSION_BYTES;
 use crate::peer::MAX_RESET_STREAMS;
 use crate::peer::SEND_BUFFER_BYTES;
 use crate::peer::STREAM_WINDOW_BYTES;
 use crate::transport::empty;
-use crate::transport::full;
 use crate::transport::streamed;
 use crate::transport::strip_hop_headers;
 use crate::transport::strip_tarragon_headers;
@@ -62,13 +57,6 @@
 /// Wait after a failed accept, which usually means that file descriptors ran out.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
-/// Answers authenticated requests between nodes that are not part of the data path.
-#[async_trait]
-pub trait PeerExtension: Send + Sync {
-    /// Answers a request to a path, or returns `None` if the path is unknown.
-    async fn handle(&self, path: &str, body: Bytes) -> Option<Bytes>;
-}
-
 /// Takes calls, heartbeats and fences from other nodes.
 pub struct PeerServer {
     address: SocketAddr,
@@ -77,7 +65,6 @@
     instance: InstanceId,
     auth: PeerAuth,
     refusals: BoundedLog,
-    extension: Option<Arc<dyn PeerExtension>>,
     /// Released when the last request has ended.
     active: Mutex<Option<TaskTrackerToken>>,
 }
@@ -91,7 +78,6 @@
         gate: Arc<Gate>,
         instance: InstanceId,
         auth: PeerAuth,
-        extension: Option<Arc<dyn PeerExtension>>,
         active: TaskTrackerToken,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(gate.settings.peer_address).await?;
@@ -99,7 +85,7 @@
         let listener = Mutex::new(Some(listener));
         let refusals = BoundedLog::new(gate.clock);
         let active = Mutex::new(Some(active));
-        Ok(Self { address, listener, gate, instance, auth, refusals, extension, active })
+        Ok(Self { address, listener, gate, instance, auth, refusals, active })
     }
 
     /// The bound address.
@@ -156,7 +142,7 @@
         match (request.method(), request.uri().path()) {
             (&Method::GET, HEARTBEAT_PATH) => self.heartbeat(),
             (&Method::POST, FENCE_PATH) => self.fence(request.headers()),
-            _ => self.extend(request).await,
+            _ => Failure::with_status(Reason::BadRequest, StatusCode::NOT_FOUND).into_response(),
         }
     }
 
@@ -191,20 +177,6 @@
         response
     }
 
-    async fn extend(&self, request: Request<Incoming>) -> Response<Body> {
-        let not_found = || {
-            let mut response = Response::new(empty());
-            *response.status_mut() = StatusCode::NOT_FOUND;
-            response
-        };
-        let Some(extension) = &self.extension else { return not_found() };
-        let path = request.uri().path().to_string();
-        let body = Limited::new(request.into_body(), MAX_EXTENSION_BYTES).collect().await;
-        let Ok(body) = body else { return Failure::from(Reason::BadRequest).into_response() };
-        let answer = extension.handle(&path, body.to_bytes()).await;
-        answer.map_or_else(not_found, |bytes| Response::new(full(bytes)))
-    }
-
     async fn handle_call(&self, request: Request<Incoming>) -> Response<Body> {
         let map = request.headers();
         let echoed = [headers::REQUEST_ID, headers::ATTEMPT]
--- a/crates/tarragond/src/peer/peers.rs
+++ b/crates/tarragond/src/peer/peers.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use http::header::RETRY_AFTER;
 use http::HeaderMap;
 use http::HeaderName;
@@ -15,8 +14,6 @@
 use http::Response;
 use http::Uri;
 use http_body_util::BodyExt;
-use http_body_util::Collected;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use tarragon_model::call::headers;
 use tarragon_model::call::CallContext;
@@ -44,9 +41,7 @@
 use crate::peer::peer_body::PeerBody;
 use crate::peer::PeerAuth;
 use crate::peer::FENCE_PATH;
-use crate::peer::MAX_EXTENSION_BYTES;
 use crate::transport::empty;
-use crate::transport::full;
 use crate::transport::strip_hop_headers;
 use crate::transport::strip_tarragon_headers;
 use crate::transport::Body;
@@ -312,60 +307,6 @@
         }
     }
 
-    /// Sends a request to an extension of a member's peer listener. The hash of the request covers
-    /// the path and not the body, which the caller must seal itself.
-    ///
-    /// # Errors
-    /// Says why there is no answer.
-    pub async fn ask(
-        &self,
-        target: InstanceId,
-        path: &str,
-        body: Bytes,
-        deadline: Instant,
-    ) -> Result<Bytes, String> {
-        let peer = self.find(target).ok_or("the node is not a member")?;
-        let channel = peer.link(WorkClass::Short).channel(&peer, &self.shared, deadline).await;
-        let channel = channel.ok_or("the node cannot be reached")?;
-        self.ask_on(&channel, path, body, deadline).await
-    }
-
-    /// Like `ask`, for a node of which only the address is known; uses a connection of its own.
-    ///
-    /// # Errors
-    /// Says why there is no answer.
-    pub async fn ask_address(
-        &self,
-        address: SocketAddr,
-        path: &str,
-        body: Bytes,
-        deadline: Instant,
-    ) -> Result<Bytes, String> {
-        let shared = &self.shared;
-        let connecting = Channel::connect(address, InstanceId(0), shared.clock, &shared.tracker);
-        let channel = tokio::time::timeout_at(deadline.into(), connecting).await;
-        let channel = channel.map_err(|_| "no connection in time")??;
-        self.ask_on(&channel, path, body, deadline).await
-    }
-
-    async fn ask_on(
-        &self,
-        channel: &Channel,
-        path: &str,
-        body: Bytes,
-        deadline: Instant,
-    ) -> Result<Bytes, String> {
-        let auth = &self.shared.auth;
-        let request = channel.control_request(Method::POST, path, full(body), auth, &[]);
-        let answer = async {
-            let response = channel.send_control(request).await?;
-            let body = Limited::new(response.into_body(), MAX_EXTENSION_BYTES).collect().await;
-            body.map(Collected::to_bytes).map_err(|e| e.to_string())
-        };
-        let answer = tokio::time::timeout_at(deadline.into(), answer).await;
-        answer.unwrap_or_else(|_| Err("no answer in time".into()))
-    }
-
     /// Closes all connections once the calls on them have ended, and joins their tasks.
     pub async fn close(&self) {
         self.shared.stop.cancel();
--- a/crates/tarragond/tests/datapath/support/cluster.rs
+++ b/crates/tarragond/tests/datapath/support/cluster.rs
@@ -193,7 +193,6 @@
             backend: Arc::new(TestBackend(status.subscribe())),
             claims: Arc::clone(&self.claims) as Arc<dyn KeyClaims>,
             metrics: Arc::clone(&metrics) as Arc<dyn Metrics>,
-            extension: None,
         };
         let policies = Policies {
             admission: Box::new(FixedLimit::new(self.limit, 100)),
