Accept connections in one place

Cause: the loop that accepts, bounds and joins connections stood in the caller listener and in the peer listener.

Change: transport/accept.rs serves both.

Ruled out: merging the body wrappers that look alike as well; each ends its request in another way.

--- a/crates/tarragond/src/peer/peer_server.rs
+++ b/crates/tarragond/src/peer/peer_server.rs
@@ -45,6 +45,7 @@
 use crate::peer::MAX_RESET_STREAMS;
 use crate::peer::SEND_BUFFER_BYTES;
 use crate::peer::STREAM_WINDOW_BYTES;
+use crate::transport::accept_connections;
 use crate::transport::empty;
 use crate::transport::streamed;
 use crate::transport::strip_hop_headers;
@@ -54,9 +55,6 @@
 use crate::transport::Failure;
 use crate::transport::TrackedExecutor;
 
-/// Wait after a failed accept, which usually means that file descriptors ran out.
-const ACCEPT_RETRY: Duration = Duration::from_millis(20);
-
 /// Takes calls, heartbeats and fences from other nodes.
 pub struct PeerServer {
     address: SocketAddr,
@@ -253,27 +251,8 @@
         let listener = self.listener.lock().expect("no holder of the lock panics").take();
         let listener =
             listener.ok_or_else(|| Report::new(KernelError::ServiceFailed("peer".into())))?;
-        let tracker = TaskTracker::new();
-        loop {
-            let accepted = tokio::select! {
-                () = stop.cancelled() => break,
-                accepted = listener.accept() => accepted,
-            };
-            match accepted {
-                Ok((stream, _)) => {
-                    let _ = stream.set_nodelay(true);
-                    let serve = Arc::clone(&self).serve(stream, tracker.clone(), stop.clone());
-                    tracker.spawn(serve);
-                }
-                Err(e) => {
-                    debug!("gate: accept of a peer failed: {e}");
-                    tokio::time::sleep(ACCEPT_RETRY).await;
-                }
-            }
-        }
-        drop(listener);
-        tracker.close();
-        tracker.wait().await;
+        let serve = |stream, _, tracker| Arc::clone(&self).serve(stream, tracker, stop.clone());
+        accept_connections(listener, usize::MAX, &stop, serve).await;
         drop(self.active.lock().expect("no holder of the lock panics").take());
         Ok(())
     }
--- a/crates/tarragond/src/transport/http1_listener.rs
+++ b/crates/tarragond/src/transport/http1_listener.rs
@@ -18,15 +18,12 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::task_tracker::TaskTrackerToken;
-use tokio_util::task::TaskTracker;
 use tracing::debug;
 
+use crate::transport::accept_connections;
 use crate::transport::Body;
 use crate::transport::StallIo;
 
-/// Wait after a failed accept, which usually means that file descriptors ran out.
-const ACCEPT_RETRY: Duration = Duration::from_millis(20);
-
 /// Time after which a connection without a request is closed. The library's 30 s would close
 /// pooled connections of callers with little traffic.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(300);
@@ -135,40 +132,13 @@
         let listener = self.listener.lock().expect("no holder of the lock panics").take();
         let listener =
             listener.ok_or_else(|| Report::new(KernelError::ServiceFailed(self.name.into())))?;
-        let tracker = TaskTracker::new();
-        loop {
-            let accepted = tokio::select! {
-                () = stop.cancelled() => break,
-                accepted = listener.accept(), if tracker.len() < self.limits.max_connections => {
-                    accepted
-                }
-                () = tokio::time::sleep(ACCEPT_RETRY), if tracker.len() >= self.limits.max_connections => {
-                    continue;
-                }
-            };
-            match accepted {
-                Ok((stream, from)) => {
-                    let _ = stream.set_nodelay(true);
-                    let stream = StallIo::new(stream, self.limits.stall_limit);
-                    let handler = Arc::clone(&self.handler);
-                    let serve = Self::serve(
-                        handler,
-                        stream,
-                        from,
-                        self.limits.max_header_bytes,
-                        stop.clone(),
-                    );
-                    tracker.spawn(serve);
-                }
-                Err(e) => {
-                    debug!("entry: accept failed: {e}");
-                    tokio::time::sleep(ACCEPT_RETRY).await;
-                }
-            }
-        }
-        drop(listener);
-        tracker.close();
-        tracker.wait().await;
+        let limits = self.limits;
+        let serve = |stream, from, _| {
+            let stream = StallIo::new(stream, limits.stall_limit);
+            let handler = Arc::clone(&self.handler);
+            Self::serve(handler, stream, from, limits.max_header_bytes, stop.clone())
+        };
+        accept_connections(listener, limits.max_connections, &stop, serve).await;
         drop(self.active.lock().expect("no holder of the lock panics").take());
         Ok(())
     }
--- a/crates/tarragond/src/transport/mod.rs
+++ b/crates/tarragond/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP pieces shared by the entry, the gate and the peer connections.
 
+mod accept;
 mod body;
 mod bounded_log;
 mod executor;
@@ -9,6 +10,7 @@
 mod replay_body;
 mod stall_io;
 
+pub(crate) use accept::accept_connections;
 pub use body::empty;
 pub use body::full;
 pub use body::streamed;
