Split the daemon's package into data path, control and assembly

Cause: an adapter for a platform has to plug into the data path and the control side, and it cannot depend on the package that holds the binary which contains it. ControlReplica moves beside the replica. No behaviour changes. Ruled out: one library package for all, which would let the data path depend on the control side.

--- a/crates/tarragond/src/catalogue/sources.rs
+++ b/crates/control/src/catalogue/sources.rs
@@ -1,10 +1,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use tarragon_datapath::directory::Directory;
 use tarragon_model::member::MemberRecord;
 
-use crate::conf::ControlReplica;
-use crate::directory::Directory;
+use crate::replica::ControlReplica;
 
 /// Most members that are asked in one round, so that a round ends soon.
 const MAX_MEMBERS_ASKED: usize = 4;
--- a/crates/tarragond/src/claims/log_claims.rs
+++ b/crates/control/src/claims/log_claims.rs
@@ -2,10 +2,10 @@
 use std::time::SystemTime;
 
 use async_trait::async_trait;
+use tarragon_datapath::claims::ClaimError;
+use tarragon_datapath::claims::KeyClaims;
 use tarragon_model::identity::InstanceId;
 
-use crate::claims::ClaimError;
-use crate::claims::KeyClaims;
 use crate::control::ClaimKey;
 use crate::control::ControlAnswer;
 use crate::control::ControlCommand;
--- a/crates/tarragond/src/control/api/api_context.rs
+++ b/crates/control/src/control/api/api_context.rs
@@ -6,10 +6,11 @@
 use dropshot::RequestContext;
 use http::header::AUTHORIZATION;
 use tarragon_consensus::driver::ReplicaHandle;
+use tarragon_datapath::backend::Announcements;
+use tarragon_datapath::directory::Directory;
 use tarragon_model::identity::InstanceId;
 use tarragon_wire::DeploymentKey;
 
-use crate::backend::Announcements;
 use crate::control::ControlAnswer;
 use crate::control::ControlFailure;
 use crate::control::ControlLog;
@@ -17,7 +18,6 @@
 use crate::control::GateView;
 use crate::control::OperatorKey;
 use crate::control::Refusals;
-use crate::directory::Directory;
 use crate::replica::ReplicaAddresses;
 
 /// What the endpoints work with.
--- a/crates/tarragond/src/control/refusals.rs
+++ b/crates/control/src/control/refusals.rs
@@ -3,10 +3,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use tarragon_datapath::datapath::Metrics;
 use tracing::warn;
 
-use crate::datapath::Metrics;
-
 /// Least time between two log lines about refusals of one kind, so that a flood of them does not
 /// fill the log.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,8 @@
+//! The control side of a node: the replica of the log, the catalogue that nodes copy from it,
+//! membership, and the control API. See `docs/design.md`, section 5.
+
+pub mod catalogue;
+pub mod claims;
+pub mod control;
+pub mod members;
+pub mod replica;
--- a/crates/tarragond/src/members/membership_service.rs
+++ b/crates/control/src/members/membership_service.rs
@@ -5,6 +5,8 @@
 use async_trait::async_trait;
 use error_stack::Report;
 use error_stack::ResultExt;
+use tarragon_datapath::backend::BackendStatus;
+use tarragon_datapath::datapath::Metrics;
 use tarragon_kernel::Kernel;
 use tarragon_kernel::KernelError;
 use tarragon_kernel::Service;
@@ -19,8 +21,6 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use crate::backend::BackendStatus;
-use crate::datapath::Metrics;
 use crate::members::ControlFullState;
 
 /// Time between checks for what only time changes in the own backend server, in ms.
--- a/crates/tarragond/src/replica/replica_addresses.rs
+++ b/crates/control/src/replica/replica_addresses.rs
@@ -1,8 +1,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::conf::ControlReplica;
-use crate::directory::Directory;
+use tarragon_datapath::directory::Directory;
+
+use crate::replica::ControlReplica;
 
 /// Finds the addresses of control replicas by the names of their nodes.
 ///
--- a/crates/tarragond/tests/control/control_state.rs
+++ b/crates/control/tests/control/control_state.rs
@@ -1,13 +1,13 @@
 use std::collections::HashMap;
 
+use tarragon_control::control::ClaimKey;
+use tarragon_control::control::ControlAnswer;
+use tarragon_control::control::ControlCommand;
+use tarragon_control::control::ControlQuery;
+use tarragon_control::control::ControlState;
 use tarragon_model::identity::InstanceId;
 use tarragon_model::note::ReleaseNote;
 use tarragon_testkit::check;
-use tarragond::control::ClaimKey;
-use tarragond::control::ControlAnswer;
-use tarragond::control::ControlCommand;
-use tarragond::control::ControlQuery;
-use tarragond::control::ControlState;
 
 const RETENTION_S: u64 = 10;
 
--- /dev/null
+++ b/crates/control/tests/control/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the state behind the log, with no network.
+
+mod control_state;
--- /dev/null
+++ b/crates/datapath/src/lib.rs
@@ -0,0 +1,11 @@
+//! The data path of a node: the entry for callers, the gate in front of the node's own backend
+//! server, and the connections between nodes. See `docs/design.md`, section 2.2.
+
+pub mod backend;
+pub mod claims;
+pub mod datapath;
+pub mod directory;
+pub mod entry;
+pub mod gate;
+pub mod peer;
+pub mod transport;
--- a/crates/tarragond/tests/control/announcements.rs
+++ b/crates/datapath/tests/announcements.rs
@@ -1,12 +1,14 @@
+//! Tests of the announcements of a backend server.
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tarragon_datapath::backend::Announcements;
 use tarragon_kernel::Kernel;
 use tarragon_kernel::Service;
 use tarragon_model::api::Announcement;
 use tarragon_model::member::BackendState;
-use tarragond::backend::Announcements;
 use tokio_util::sync::CancellationToken;
 
 fn announcement() -> Announcement {
--- a/crates/tarragond/tests/datapath/exits.rs
+++ b/crates/datapath/tests/datapath/exits.rs
@@ -6,7 +6,7 @@
 
 use http::Request;
 use http_body_util::BodyExt;
-use tarragond::transport::empty;
+use tarragon_datapath::transport::empty;
 
 use crate::calls::until_answered;
 use crate::support::request;
--- a/crates/tarragond/tests/datapath/lost.rs
+++ b/crates/datapath/tests/datapath/lost.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
-use tarragond::transport::BoxError;
+use tarragon_datapath::transport::BoxError;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
--- a/crates/tarragond/tests/datapath/peers.rs
+++ b/crates/datapath/tests/datapath/peers.rs
@@ -7,12 +7,12 @@
 use hyper::client::conn::http2;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
+use tarragon_datapath::peer::PeerAuth;
+use tarragon_datapath::transport::empty;
+use tarragon_datapath::transport::Body;
 use tarragon_model::call::CallContext;
 use tarragon_model::identity::InstanceId;
 use tarragon_model::identity::RequestId;
-use tarragond::peer::PeerAuth;
-use tarragond::transport::empty;
-use tarragond::transport::Body;
 use tokio::net::TcpStream;
 
 use crate::calls::until_answered;
--- a/crates/tarragond/tests/datapath/support/client.rs
+++ b/crates/datapath/tests/datapath/support/client.rs
@@ -9,8 +9,8 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use tarragond::transport::full;
-use tarragond::transport::Body;
+use tarragon_datapath::transport::full;
+use tarragon_datapath::transport::Body;
 use tokio::net::TcpStream;
 
 /// Answer as a caller sees it.
--- a/crates/tarragond/src/app/late_gate.rs
+++ b/crates/node/src/app/late_gate.rs
@@ -1,8 +1,8 @@
 use std::sync::OnceLock;
 
-use crate::control::GateReport;
-use crate::control::GateView;
-use crate::gate::GateHandle;
+use tarragon_control::control::GateReport;
+use tarragon_control::control::GateView;
+use tarragon_datapath::gate::GateHandle;
 
 /// The gate as the control API sees it, which is there before the data path is.
 #[derive(Default)]
--- a/crates/tarragond/src/app/policies.rs
+++ b/crates/node/src/app/policies.rs
@@ -1,3 +1,4 @@
+use tarragon_datapath::datapath::Policies;
 use tarragon_model::identity::InstanceId;
 use tarragon_policy::admission::AdaptiveAdmission;
 use tarragon_policy::admission::AdmissionSettings;
@@ -11,7 +12,6 @@
 use tarragon_policy::routing::RoutingSettings;
 
 use crate::conf::Settings;
-use crate::datapath::Policies;
 
 /// Builds the decisions of a node from its settings.
 pub fn policies(settings: &Settings, instance: InstanceId) -> Policies {
--- a/crates/tarragond/src/app/statsd.rs
+++ b/crates/node/src/app/statsd.rs
@@ -9,9 +9,9 @@
 use cadence::Timed;
 use error_stack::Report;
 use error_stack::ResultExt;
+use tarragon_datapath::datapath::Metrics;
 
 use crate::app::AppError;
-use crate::datapath::Metrics;
 
 /// Prefix of every metric.
 const PREFIX: &str = "tarragon";
--- a/crates/tarragond/src/conf/mod.rs
+++ b/crates/node/src/conf/mod.rs
@@ -8,7 +8,6 @@
 pub use load::load_settings;
 pub use load::SettingsError;
 pub use settings::Advertise;
-pub use settings::ControlReplica;
 pub use settings::Limits;
 pub use settings::Listen;
 pub use settings::LogFormat;
--- a/crates/tarragond/src/conf/settings.rs
+++ b/crates/node/src/conf/settings.rs
@@ -4,6 +4,7 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
+use tarragon_control::replica::ControlReplica;
 
 /// Settings of one node. `docs/OPERATIONS.md` describes each field for operators.
 #[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
@@ -78,18 +79,6 @@
     pub replica_address: Option<SocketAddr>,
 }
 
-/// A control replica as the settings of every node name it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields)]
-pub struct ControlReplica {
-    /// Name of the node.
-    pub node_name: String,
-    /// Its control address.
-    pub control_address: SocketAddr,
-    /// Its address for other control replicas.
-    pub replica_address: SocketAddr,
-}
-
 /// Format of log lines.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/tarragond/tests/control/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -1,10 +1,12 @@
+//! Tests of the checks of settings files.
+
 use std::path::Path;
 
 use serde_json::json;
 use serde_json::Value;
 use tarragon_model::check::format_mistakes;
-use tarragond::conf::load_settings;
-use tarragond::conf::SettingsError;
+use tarragon_node::conf::load_settings;
+use tarragon_node::conf::SettingsError;
 
 fn valid() -> Value {
     json!({
--- a/crates/tarragond/src/cli/run.rs
+++ b/crates/tarragond/src/cli/run.rs
@@ -1,13 +1,13 @@
 use std::process::ExitCode;
 
 use error_stack::Report;
+use tarragon_node::app::run_node;
+use tarragon_node::app::AppError;
+use tarragon_node::conf::load_settings;
+use tarragon_node::conf::SettingsError;
 
-use crate::app::run_node;
-use crate::app::AppError;
 use crate::cli::Args;
 use crate::cli::Command;
-use crate::conf::load_settings;
-use crate::conf::SettingsError;
 
 /// Result of a command, applied by `main`.
 #[derive(Debug)]
--- a/crates/tarragond/src/lib.rs
+++ b/crates/tarragond/src/lib.rs
@@ -1,17 +1,3 @@
-//! The node daemon of tarragonloom, see `docs/design.md`.
+//! Command line of the node daemon; `tarragon-node` assembles the node itself.
 
-pub mod app;
-pub mod backend;
-pub mod catalogue;
-pub mod claims;
 pub mod cli;
-pub mod conf;
-pub mod control;
-pub mod datapath;
-pub mod directory;
-pub mod entry;
-pub mod gate;
-pub mod members;
-pub mod peer;
-pub mod replica;
-pub mod transport;
