--- a/crates/control/src/control/api/replicas.rs
+++ b/crates/control/src/control/api/replicas.rs
@@ -1,8 +1,6 @@
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use dropshot::endpoint;
 use dropshot::FreeformBody;
 use dropshot::HttpError;
@@ -10,17 +8,11 @@
 use dropshot::RequestContext;
 use dropshot::TypedBody;
 use futures_util::future::join_all;
-use http::Method;
-use tarragon_client::ControlClient;
-use tarragon_consensus::driver::ReplicaHandle;
 use tarragon_consensus::protocol::ReplicaId;
 use tarragon_model::api::InitRequest;
 use tarragon_model::api::ReplicaChangeAnswer;
 use tarragon_model::api::ReplicaEntry;
-use tarragon_model::api::ReplicaInfo;
 use tarragon_model::api::ReplicaName;
-use tarragon_wire::open;
-use tarragon_wire::Channel;
 use tracing::info;
 
 use crate::control::api::api_context::require_operator;
@@ -29,9 +21,8 @@
 use crate::control::ControlFailure;
 use crate::control::ControlRequest;
 use crate::control::ReplicaChange;
-
-/// Time to wait for what one replica says of itself, in ms.
-const INFO_TIMEOUT_MS: u64 = 1_000;
+use crate::replica::ask_replica;
+use crate::replica::replica_info;
 
 /// Tries to make a new replica a voter, which waits for it to catch up.
 const MAX_ADD_TRIES: usize = 20;
@@ -102,7 +93,7 @@
     let Some((_, address)) = known.into_iter().find(|(known, _)| *known == name) else {
         return Ok(refused(format!("no replica '{name}' is known; is its node running?")));
     };
-    let Some(info) = ask_replica(context, address).await else {
+    let Some(info) = ask_replica(&context.deployment_key, address).await else {
         return Ok(refused(format!("the replica '{name}' does not answer")));
     };
     let Ok(disk) = info.disk.parse() else {
@@ -154,29 +145,7 @@
 async fn ask_replicas(context: &ApiContext) -> Vec<ReplicaEntry> {
     let known = context.replica_addresses.control_addresses();
     let ask = |(name, address)| async move {
-        ReplicaEntry { name, info: ask_replica(context, address).await }
+        ReplicaEntry { name, info: ask_replica(&context.deployment_key, address).await }
     };
     join_all(known.into_iter().map(ask)).await
 }
-
-async fn ask_replica(context: &ApiContext, address: SocketAddr) -> Option<ReplicaInfo> {
-    let client = ControlClient::new(None, INFO_TIMEOUT_MS);
-    let reply = client.send(address, Method::GET, "/v1/replica", Bytes::new()).await.ok()?;
-    open(&context.deployment_key, Channel::Replica, &reply.body).ok()?
-}
-
-fn replica_info(replica: &ReplicaHandle) -> ReplicaInfo {
-    let status = replica.status();
-    ReplicaInfo {
-        name: status.id.name.clone(),
-        disk: status.id.disk.to_string(),
-        role: format!("{:?}", status.role).to_lowercase(),
-        term: status.term,
-        leader: status.leader.map(|leader| leader.to_string()),
-        commit_index: status.commit_index,
-        last_index: status.last_index,
-        snapshot_index: status.snapshot_index,
-        voters: status.configuration.voters.iter().map(ToString::to_string).collect(),
-        learners: status.configuration.learners.iter().map(ToString::to_string).collect(),
-    }
-}
--- a/crates/control/src/control/control_state.rs
+++ b/crates/control/src/control/control_state.rs
@@ -6,6 +6,8 @@
 use tarragon_model::api::NoteList;
 use tarragon_model::catalogue::Catalogue;
 use tarragon_model::catalogue::SubmitAnswer;
+use tarragon_model::configuration::Configuration;
+use tarragon_model::configuration::ConfigureAnswer;
 use tarragon_model::identity::InstanceId;
 use tarragon_model::note::ReleaseNote;
 
@@ -17,6 +19,8 @@
 pub enum ControlCommand {
     /// Submits a release note.
     Submit(ReleaseNote),
+    /// Submits a whole configuration.
+    Configure(Box<Configuration>),
     /// Claims an idempotency key for a gate instance.
     Claim {
         /// Service and key.
@@ -48,6 +52,8 @@
     Note(String),
     /// The revision of the catalogue.
     Revision,
+    /// The whole configuration in force.
+    Configuration,
 }
 
 /// Answer to a command or a question.
@@ -55,6 +61,8 @@
 pub enum ControlAnswer {
     /// Answer to a submitted note.
     Submit(SubmitAnswer),
+    /// Answer to a submitted configuration.
+    Configure(ConfigureAnswer),
     /// Instance that owns the claimed key.
     Owner(InstanceId),
     /// The latest accepted notes.
@@ -65,6 +73,8 @@
     ReplicasChanged,
     /// The revision of the catalogue.
     Revision(u64),
+    /// The configuration in force, as it was submitted; none before the first.
+    Configuration(Option<String>),
 }
 
 /// The state machine behind the replicated log.
@@ -93,6 +103,9 @@
     pub fn apply(&mut self, command: &ControlCommand) -> ControlAnswer {
         match command {
             ControlCommand::Submit(note) => ControlAnswer::Submit(self.catalogue.submit(note)),
+            ControlCommand::Configure(next) => {
+                ControlAnswer::Configure(self.catalogue.configure(next))
+            }
             ControlCommand::Claim { key, wanted, now_s, retention_s } => {
                 self.now_s = self.now_s.max(*now_s);
                 self.drop_expired_claims();
@@ -116,6 +129,10 @@
             }
             ControlQuery::Note(id) => ControlAnswer::NoteRevision(self.catalogue.find_note(id)),
             ControlQuery::Revision => ControlAnswer::Revision(self.catalogue.revision()),
+            ControlQuery::Configuration => {
+                let present = self.catalogue.configuration();
+                ControlAnswer::Configuration(present.map(|present| present.document.clone()))
+            }
         }
     }
 
--- /dev/null
+++ b/crates/control/src/replica/replica_query.rs
@@ -0,0 +1,37 @@
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::Method;
+use tarragon_client::ControlClient;
+use tarragon_consensus::driver::ReplicaHandle;
+use tarragon_model::api::ReplicaInfo;
+use tarragon_wire::open;
+use tarragon_wire::Channel;
+use tarragon_wire::DeploymentKey;
+
+/// Time to wait for what one replica says of itself, in ms.
+const INFO_TIMEOUT_MS: u64 = 1_000;
+
+/// Asks a node what its replica says of itself. None without an answer or without a replica.
+pub async fn ask_replica(key: &DeploymentKey, address: SocketAddr) -> Option<ReplicaInfo> {
+    let client = ControlClient::new(None, INFO_TIMEOUT_MS);
+    let reply = client.send(address, Method::GET, "/v1/replica", Bytes::new()).await.ok()?;
+    open::<Option<ReplicaInfo>>(key, Channel::Replica, &reply.body).ok()?
+}
+
+/// What a replica says of itself.
+pub fn replica_info(replica: &ReplicaHandle) -> ReplicaInfo {
+    let status = replica.status();
+    ReplicaInfo {
+        name: status.id.name.clone(),
+        disk: status.id.disk.to_string(),
+        role: format!("{:?}", status.role).to_lowercase(),
+        term: status.term,
+        leader: status.leader.map(|leader| leader.to_string()),
+        commit_index: status.commit_index,
+        last_index: status.last_index,
+        snapshot_index: status.snapshot_index,
+        voters: status.configuration.voters.iter().map(ToString::to_string).collect(),
+        learners: status.configuration.learners.iter().map(ToString::to_string).collect(),
+    }
+}
--- a/crates/datapath/src/backend/announcements.rs
+++ b/crates/datapath/src/backend/announcements.rs
@@ -8,6 +8,7 @@
 use tarragon_kernel::KernelError;
 use tarragon_kernel::Service;
 use tarragon_model::api::Announcement;
+use tarragon_model::api::ServerIdentity;
 use tarragon_model::member::BackendState;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -29,8 +30,13 @@
 #[derive(Default)]
 struct Held {
     announcement: Option<Announcement>,
-    /// Since when this backend server is announced without a gap.
-    since: Option<Instant>,
+    /// End of the cold start of this backend server.
+    cold_until: Option<Instant>,
+    /// The newest word of any start that identified itself, kept after it left so that late
+    /// announcements are still recognised.
+    newest: Option<ServerIdentity>,
+    /// Whether the newest start said that it leaves.
+    has_left: bool,
     expires: Option<Instant>,
     is_drained_by_operator: bool,
 }
@@ -44,18 +50,53 @@
 
 impl Announcements {
     /// Records an announcement, the first or a repeated one.
-    pub fn announce(&self, announcement: Announcement) {
+    ///
+    /// Returns false if it changes nothing, because a later one of the same start, or one of a later
+    /// start, came before it, or because its start has left.
+    pub fn announce(&self, announcement: Announcement) -> bool {
         let now = Instant::now();
         let mut held = self.held.lock().expect("no holder of the lock panics");
+        if let Some(server) = &announcement.server {
+            if !held.admit(server) {
+                info!(
+                    server = server.id,
+                    started_at_ms = server.started_at_ms,
+                    sequence = server.sequence,
+                    "drain: ignored an outdated announcement of a backend server"
+                );
+                return false;
+            }
+        }
         let is_same = held.announcement.as_ref().is_some_and(|known| {
             known.service == announcement.service && known.address == announcement.address
         });
-        if !is_same {
-            held.since = Some(now);
+        // A start that identifies itself says each time how long it stays slow.
+        if !is_same || announcement.server.is_some() {
+            held.cold_until = Some(now + Duration::from_millis(announcement.cold_start_ms));
         }
         held.expires = Some(now + Duration::from_millis(announcement.ttl_ms));
         held.announcement = Some(announcement);
         self.refresh(&mut held, now);
+        true
+    }
+
+    /// Records that a start of the backend server takes no more work and will end. Work in progress
+    /// goes on. Returns false if a later start has replaced it.
+    pub fn leave(&self, id: &str, started_at_ms: Option<u64>) -> bool {
+        let now = Instant::now();
+        let mut held = self.held.lock().expect("no holder of the lock panics");
+        let is_newest = held.newest.as_ref().is_some_and(|newest| {
+            newest.id == id && started_at_ms.is_none_or(|at| at == newest.started_at_ms)
+        });
+        if !is_newest {
+            return false;
+        }
+        held.has_left = true;
+        if let Some(announcement) = &mut held.announcement {
+            announcement.draining = true;
+        }
+        self.refresh(&mut held, now);
+        true
     }
 
     /// Forgets the backend server, because it said that it leaves.
@@ -71,7 +112,8 @@
         let now = Instant::now();
         let mut held = self.held.lock().expect("no holder of the lock panics");
         if held.is_drained_by_operator && !is_draining {
-            held.since = Some(now);
+            let cold_start_ms = held.announcement.as_ref().map_or(0, |a| a.cold_start_ms);
+            held.cold_until = Some(now + Duration::from_millis(cold_start_ms));
         }
         held.is_drained_by_operator = is_draining;
         self.refresh(&mut held, now);
@@ -105,10 +147,22 @@
 }
 
 impl Held {
+    /// Whether a word of a start is newer than all before it, and its start has not left.
+    fn admit(&mut self, server: &ServerIdentity) -> bool {
+        if let Some(newest) = &self.newest {
+            let is_same_start = newest.started_at_ms == server.started_at_ms;
+            if server.is_before(newest) || (is_same_start && self.has_left) {
+                return false;
+            }
+            self.has_left &= is_same_start;
+        }
+        self.newest = Some(server.clone());
+        true
+    }
+
     fn status(&self, now: Instant) -> BackendStatus {
         let Some(announcement) = &self.announcement else { return BackendStatus::absent() };
-        let cold_start = Duration::from_millis(announcement.cold_start_ms);
-        let is_cold = self.since.is_some_and(|since| now < since + cold_start);
+        let is_cold = self.cold_until.is_some_and(|end| now < end);
         let state = if announcement.draining || self.is_drained_by_operator {
             BackendState::Draining
         } else if is_cold {
@@ -120,6 +174,7 @@
             service: announcement.service.clone(),
             address: Some(announcement.address),
             slots: announcement.slots,
+            server_id: announcement.server.as_ref().map(|server| server.id.clone()),
             state,
         }
     }
--- a/crates/datapath/src/backend/backend_status.rs
+++ b/crates/datapath/src/backend/backend_status.rs
@@ -12,6 +12,8 @@
     pub address: Option<SocketAddr>,
     /// Requests that it says it can run at once; a hint.
     pub slots: u32,
+    /// Its identity, if it announced one; it changes with every start.
+    pub server_id: Option<String>,
     /// Its state; the gate takes new work only in `Ready` and `Starting`.
     pub state: BackendState,
 }
@@ -19,7 +21,13 @@
 impl BackendStatus {
     /// Status before the first announcement.
     pub fn absent() -> Self {
-        Self { service: String::new(), address: None, slots: 0, state: BackendState::Absent }
+        Self {
+            service: String::new(),
+            address: None,
+            slots: 0,
+            server_id: None,
+            state: BackendState::Absent,
+        }
     }
 }
 
--- a/crates/datapath/src/datapath/data_path.rs
+++ b/crates/datapath/src/datapath/data_path.rs
@@ -14,6 +14,7 @@
 use tarragon_policy::retry::RetryPolicy;
 use tarragon_policy::routing::RoutePolicy;
 use tarragon_wire::DeploymentKey;
+use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
 use crate::backend::OwnBackend;
@@ -21,6 +22,7 @@
 use crate::datapath::Clock;
 use crate::datapath::DataPathSettings;
 use crate::datapath::Metrics;
+use crate::datapath::Serving;
 use crate::directory::Directory;
 use crate::entry::CallerHandler;
 use crate::entry::ExitHandler;
@@ -31,6 +33,8 @@
 use crate::gate::GateHandle;
 use crate::gate::GateParts;
 use crate::gate::GateService;
+use crate::interface::BackendInterface;
+use crate::interface::CallerInterface;
 use crate::peer::PeerAuth;
 use crate::peer::PeerServer;
 use crate::peer::Peers;
@@ -70,6 +74,7 @@
 }
 
 /// What surrounds the data path of a node.
+#[derive(Clone)]
 pub struct Environment {
     /// This life of the node.
     pub instance: InstanceId,
@@ -83,6 +88,12 @@
     pub claims: Arc<dyn KeyClaims>,
     /// Receiver of counters and timings.
     pub metrics: Arc<dyn Metrics>,
+    /// Headers to and from callers.
+    pub caller_interface: Arc<dyn CallerInterface>,
+    /// Headers to and from the own backend server.
+    pub backend_interface: Arc<dyn BackendInterface>,
+    /// Whether callers are served.
+    pub serving: watch::Receiver<Serving>,
 }
 
 /// Listeners, gate and peer connections of one node. The listeners are bound; their connections
@@ -109,7 +120,8 @@
     ) -> Result<Self, Report<BindError>> {
         let settings = Arc::new(settings);
         let clock = Clock::default();
-        let Environment { instance, key, directory, backend, claims, metrics } = environment;
+        let Environment { instance, key, directory, backend, claims, metrics, .. } = environment;
+        let Environment { caller_interface, backend_interface, serving, .. } = environment;
         let route = Arc::new(Mutex::new(policies.route));
         let retry = Arc::new(Mutex::new(policies.retry));
         let auth = PeerAuth::new(key.clone());
@@ -123,6 +135,7 @@
             catalogue: directory.catalogue(),
             key,
             metrics: Arc::clone(&metrics),
+            interface: backend_interface,
         }));
         let peers = Arc::new(Peers::new(PeersParts {
             settings: Arc::clone(&settings),
@@ -152,7 +165,12 @@
             max_connections: settings.max_caller_connections,
             stall_limit: Duration::from_millis(settings.caller_stall_ms),
         };
-        let handler = Arc::new(CallerHandler::new(Arc::clone(&forwarder), policies.throttle));
+        let handler = Arc::new(CallerHandler::new(
+            Arc::clone(&forwarder),
+            policies.throttle,
+            caller_interface,
+            serving,
+        ));
         let address = settings.caller_address;
         let caller =
             Http1Listener::bind("entry", address, handler, limits, listeners.token()).await;
--- a/crates/datapath/src/datapath/mod.rs
+++ b/crates/datapath/src/datapath/mod.rs
@@ -3,6 +3,7 @@
 mod clock;
 mod data_path;
 mod metrics;
+mod serving;
 mod settings;
 
 pub(crate) use clock::left_us;
@@ -14,4 +15,5 @@
 pub use data_path::Policies;
 pub use metrics::Metrics;
 pub use metrics::NoMetrics;
+pub use serving::Serving;
 pub use settings::DataPathSettings;
--- a/crates/datapath/src/entry/caller_handler.rs
+++ b/crates/datapath/src/entry/caller_handler.rs
@@ -3,43 +3,53 @@
 use std::sync::MutexGuard;
 
 use async_trait::async_trait;
-use http::header::AUTHORIZATION;
 use http::request::Parts;
-use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::Response;
+use http::StatusCode;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
-use tarragon_model::call::headers;
 use tarragon_model::call::CallContext;
 use tarragon_model::call::Outcome;
 use tarragon_model::call::Reason;
-use tarragon_policy::once::CallerDigest;
 use tarragon_policy::retry::CallerThrottle;
+use tokio::sync::watch;
 use tracing::debug;
 
+use crate::datapath::Serving;
 use crate::entry::forwarder::EntrySpan;
-use crate::entry::inbound::Inbound;
 use crate::entry::key_issue;
 use crate::entry::outgoing_call::OutgoingCall;
 use crate::entry::Forwarder;
+use crate::interface::CallerInterface;
+use crate::interface::Inbound;
 use crate::transport::streamed;
 use crate::transport::Body;
 use crate::transport::Failure;
 use crate::transport::Http1Handler;
-use crate::transport::RemoteAddress;
 use crate::transport::ReplayBody;
 
+/// When a caller that came before the node was ready may come again, in ms.
+const NOT_READY_RETRY_MS: u64 = 500;
+
 /// Answers callers.
 pub struct CallerHandler {
     forwarder: Arc<Forwarder>,
     throttle: Mutex<CallerThrottle>,
+    interface: Arc<dyn CallerInterface>,
+    serving: watch::Receiver<Serving>,
 }
 
 impl CallerHandler {
     /// Creates a handler that forwards with the given forwarder what the throttle admits.
-    pub fn new(forwarder: Arc<Forwarder>, throttle: CallerThrottle) -> Self {
-        Self { forwarder, throttle: Mutex::new(throttle) }
+    pub fn new(
+        forwarder: Arc<Forwarder>,
+        throttle: CallerThrottle,
+        interface: Arc<dyn CallerInterface>,
+        serving: watch::Receiver<Serving>,
+    ) -> Self {
+        Self { forwarder, throttle: Mutex::new(throttle), interface, serving }
     }
 
     fn throttle(&self) -> MutexGuard<'_, CallerThrottle> {
@@ -47,17 +57,28 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Failure> {
-        let is_key_request =
-            request.method() == Method::POST && request.uri().path() == key_issue::KEYS_PATH;
+        if *self.serving.borrow() == Serving::NotYet {
+            return Err(Failure::retry_after(Reason::NotReady, NOT_READY_RETRY_MS));
+        }
+        let is_key_request = self.interface.issues_keys()
+            && request.method() == Method::POST
+            && request.uri().path() == key_issue::KEYS_PATH;
         if is_key_request {
             return key_issue::issue(&self.forwarder, request.uri().query());
         }
         let (mut parts, body) = request.into_parts();
         let settings = &self.forwarder.parts.settings;
         let catalogue = Arc::clone(&self.forwarder.parts.catalogue.borrow());
-        let inbound = Inbound::read(&mut parts, &catalogue, settings)?;
+        let inbound = self.interface.read(&mut parts, &catalogue, settings)?;
         drop(catalogue);
-        let (caller, rank) = (caller_of(&parts), inbound.rank);
+        if body.size_hint().lower() > inbound.max_body_bytes {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            return Err(Failure::with_status(Reason::BadRequest, status));
+        }
+        let rank = inbound.rank;
+        let Some(caller) = self.interface.caller(&parts) else {
+            return self.forward(parts, body, inbound).await;
+        };
         let clock = self.forwarder.parts.clock;
         self.throttle().admit(&caller, rank, clock.now_us())?;
         let result = self.forward(parts, body, inbound).await;
@@ -74,7 +95,8 @@
     ) -> Result<Response<Body>, Failure> {
         let settings = &self.forwarder.parts.settings;
         let request_id = self.forwarder.next_request_id();
-        let span = EntrySpan::open(&self.forwarder, settings.retry_tokens);
+        let tokens = inbound.max_attempts.map_or(settings.retry_tokens, |most| most - 1);
+        let span = EntrySpan::open(&self.forwarder, tokens);
         let deadline = inbound.asked.unwrap_or(inbound.default_deadline);
         let context = CallContext {
             request_id,
@@ -95,36 +117,14 @@
             deadline,
             is_idempotent: inbound.is_idempotent,
             class: inbound.class,
+            max_attempts: inbound.max_attempts,
+            label: inbound.label,
             ledger_span: span.id,
         };
         self.forwarder.forward(&call).await
     }
 }
 
-/// Tells callers apart by their credentials, or by their address if they send none.
-fn caller_of(parts: &Parts) -> CallerDigest {
-    let hash = match (parts.headers.get(AUTHORIZATION), parts.extensions.get::<RemoteAddress>()) {
-        (Some(credentials), _) => blake3::hash(credentials.as_bytes()),
-        (None, Some(RemoteAddress(address))) => blake3::hash(address.ip().to_string().as_bytes()),
-        (None, None) => blake3::hash(&[]),
-    };
-    let mut digest = [0; 16];
-    digest.copy_from_slice(&hash.as_bytes()[..16]);
-    CallerDigest(digest)
-}
-
-/// Answer for a caller, with its outcome.
-pub(crate) fn with_outcome(result: Result<Response<Body>, Failure>) -> Response<Body> {
-    match result {
-        Ok(mut response) => {
-            let value = HeaderValue::from_static(Outcome::Answered.as_str());
-            response.headers_mut().insert(headers::OUTCOME, value);
-            response
-        }
-        Err(failure) => failure.into_response(),
-    }
-}
-
 #[async_trait]
 impl Http1Handler for CallerHandler {
     async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
@@ -137,6 +137,7 @@
         if let Err(failure) = &result {
             debug!("entry: {outcome}: {}", failure.reason);
         }
-        with_outcome(result)
+        let is_closing = *self.serving.borrow() == Serving::Ending;
+        self.interface.answer(result, is_closing)
     }
 }
--- a/crates/datapath/src/entry/exit_handler.rs
+++ b/crates/datapath/src/entry/exit_handler.rs
@@ -11,12 +11,12 @@
 use tarragon_model::identity::SpanId;
 use tokio_util::sync::CancellationToken;
 
-use crate::entry::caller_handler::with_outcome;
 use crate::entry::forwarder::EntrySpan;
-use crate::entry::inbound::Inbound;
 use crate::entry::outgoing_call::OutgoingCall;
 use crate::entry::Forwarder;
 use crate::gate::ParentSpan;
+use crate::interface::CallerInterface;
+use crate::interface::OwnCallerInterface;
 use crate::transport::streamed;
 use crate::transport::Body;
 use crate::transport::BoundedLog;
@@ -55,7 +55,7 @@
         let (mut parts, body) = request.into_parts();
         let settings = &forwarder.parts.settings;
         let catalogue = Arc::clone(&forwarder.parts.catalogue.borrow());
-        let inbound = Inbound::read(&mut parts, &catalogue, settings)?;
+        let inbound = OwnCallerInterface.read(&mut parts, &catalogue, settings)?;
         drop(catalogue);
         let (context, deadline) = match &parent {
             Some((span, parent)) => {
@@ -103,6 +103,8 @@
             deadline,
             is_idempotent: inbound.is_idempotent,
             class: inbound.class,
+            max_attempts: inbound.max_attempts,
+            label: inbound.label,
             ledger_span: ledger_span.expect("a call has its own span or that of its parent"),
         };
         forwarder.forward(&call).await
@@ -122,6 +124,6 @@
             // Nobody waits for the execution that made the call.
             () = cancelled.cancelled() => Err(Reason::ConnectionLost.into()),
         };
-        with_outcome(result)
+        OwnCallerInterface.answer(result, false)
     }
 }
--- a/crates/datapath/src/entry/forwarder.rs
+++ b/crates/datapath/src/entry/forwarder.rs
@@ -37,6 +37,9 @@
 use crate::transport::Body;
 use crate::transport::Failure;
 
+/// Most gates that are asked after others refused a request that reached no backend server.
+const MAX_REROUTES: u32 = 8;
+
 /// What a forwarder is built from.
 pub struct ForwarderParts {
     /// Settings of the data path.
@@ -118,6 +121,7 @@
     ) -> Result<Response<Body>, Failure> {
         let mut excluded = Vec::new();
         let mut last = None;
+        let (mut reached, mut reroutes) = (0, 0);
         loop {
             let target = self.choose_again(call, &excluded, last)?;
             let failure = match self.attempt(call, target).await {
@@ -127,7 +131,17 @@
             if !failure.is_not_run() {
                 *unknown = Some(failure);
             }
-            if !may_repeat(call, failure) || !self.take_token(call) {
+            if !may_repeat(call, failure) {
+                return Err(failure);
+            }
+            // A refusal before the backend server adds nothing to its work, so where a route bounds
+            // the servers that a request may reach, another gate is asked without a token.
+            let is_free = call.max_attempts.is_some() && !failure.reason.has_reached_server();
+            reached += u32::from(failure.reason.has_reached_server());
+            reroutes += u32::from(is_free);
+            let is_spent = call.max_attempts.is_some_and(|most| reached >= most);
+            let may_go_on = if is_free { reroutes <= MAX_REROUTES } else { self.take_token(call) };
+            if is_spent || !may_go_on {
                 return Err(failure);
             }
             debug!("route: {} is sent again after {}", call.context.request_id, failure.reason);
@@ -341,7 +355,9 @@
 /// Whether another attempt is safe and may help.
 fn may_repeat(call: &OutgoingCall, failure: Failure) -> bool {
     let may_help = match failure.reason {
-        Reason::NoServer | Reason::Shed | Reason::Draining | Reason::Fenced => true,
+        Reason::NoServer | Reason::Shed | Reason::Draining | Reason::Rejected | Reason::Fenced => {
+            true
+        }
         // These may have run, so only work that may run twice is sent again.
         Reason::ConnectionLost | Reason::BadAnswer | Reason::WrongInstance => call.is_idempotent,
         _ => false,
--- a/crates/datapath/src/entry/mod.rs
+++ b/crates/datapath/src/entry/mod.rs
@@ -4,7 +4,6 @@
 mod entry_body;
 mod exit_handler;
 mod forwarder;
-mod inbound;
 mod key_issue;
 mod outgoing_call;
 mod route_table;
--- a/crates/datapath/src/entry/outgoing_call.rs
+++ b/crates/datapath/src/entry/outgoing_call.rs
@@ -20,6 +20,10 @@
     pub(crate) deadline: Instant,
     pub(crate) is_idempotent: bool,
     pub(crate) class: WorkClass,
+    /// Most backend servers that it may reach; none if only the retry tokens bound them.
+    pub(crate) max_attempts: Option<u32>,
+    /// Identifier that the caller gave it, for logs.
+    pub(crate) label: String,
     /// Holder of the retry tokens at this node.
     pub(crate) ledger_span: SpanId,
 }
--- a/crates/datapath/src/gate/answer_body.rs
+++ b/crates/datapath/src/gate/answer_body.rs
@@ -33,17 +33,26 @@
     /// Whether the whole request body was read; the connection cannot be reused before.
     pub(crate) is_upload_done: Arc<AtomicBool>,
     pub(crate) whole_end: RunEnd,
+    /// Whether bytes after the announced length leave the answer itself intact.
+    pub(crate) allows_surplus: bool,
+    /// Announced length of the answer, if there is one.
+    pub(crate) length_bytes: Option<u64>,
 }
 
 impl Execution {
     fn complete(mut self) {
         self.slot.set_end(self.whole_end);
         self.span.end();
-        if self.is_upload_done.load(Ordering::Acquire) {
+        if self.is_upload_done.load(Ordering::Acquire) && !self.has_surplus() {
             self.lease.give_back();
         }
     }
 
+    /// Whether more bytes arrived than the answer announced.
+    fn has_surplus(&self) -> bool {
+        self.length_bytes.is_some_and(|length| self.lease.body_bytes() > length)
+    }
+
     fn fail(mut self) {
         self.slot.set_end(RunEnd::Failed);
         self.span.end();
@@ -116,10 +125,9 @@
         Poll::Ready(Some(Err(error)))
     }
 
-    /// Whether more bytes arrived than the answer announced.
+    /// Whether bytes after the announced length make the answer doubtful.
     fn is_too_long(&self) -> bool {
-        let received = self.lock().as_ref().map_or(0, |e| e.lease.body_bytes());
-        self.length_bytes.is_some_and(|length| received > length)
+        self.lock().as_ref().is_some_and(|e| !e.allows_surplus && e.has_surplus())
     }
 
     fn is_past_deadline(&mut self, cx: &mut Context<'_>) -> bool {
--- a/crates/datapath/src/gate/gate_shell.rs
+++ b/crates/datapath/src/gate/gate_shell.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -12,7 +13,6 @@
 use http_body_util::BodyExt;
 use hyper::body::Body as HttpBody;
 use hyper::body::Incoming;
-use tarragon_model::call::headers;
 use tarragon_model::call::CallContext;
 use tarragon_model::call::Reason;
 use tarragon_model::catalogue::Catalogue;
@@ -50,6 +50,9 @@
 use crate::gate::GateAnswer;
 use crate::gate::GateCall;
 use crate::gate::ParentSpan;
+use crate::interface::AnswerVerdict;
+use crate::interface::BackendInterface;
+use crate::interface::BackendRequest;
 use crate::transport::strip_hop_headers;
 use crate::transport::strip_tarragon_headers;
 use crate::transport::Body;
@@ -78,6 +81,8 @@
     pub key: DeploymentKey,
     /// Receiver of counters.
     pub metrics: Arc<dyn Metrics>,
+    /// Headers to and from the backend server.
+    pub interface: Arc<dyn BackendInterface>,
 }
 
 /// Decides on requests for the own backend server and runs them.
@@ -94,13 +99,14 @@
     pub(crate) status: watch::Receiver<BackendStatus>,
     retry: Arc<Mutex<Box<dyn RetryPolicy>>>,
     catalogue: watch::Receiver<Arc<Catalogue>>,
+    interface: Arc<dyn BackendInterface>,
 }
 
 impl Gate {
     /// Creates a gate; `GateService` runs its timers.
     pub fn new(parts: GateParts) -> Self {
-        let GateParts { settings, clock, admission, once, retry, status, catalogue, key, metrics } =
-            parts;
+        let GateParts { settings, clock, admission, once, retry, status, .. } = parts;
+        let GateParts { catalogue, key, metrics, interface, .. } = parts;
         let tracker = TaskTracker::new();
         let pool = BackendPool::new(
             settings.max_backend_connections,
@@ -121,6 +127,7 @@
             status,
             retry,
             catalogue,
+            interface,
         }
     }
 
@@ -213,7 +220,8 @@
             attempt: call.attempt,
         };
         let address = self.ready_address(&call.service)?;
-        let (mut request, is_upload_done) = backend_request(call, span.id(), address);
+        let tag = self.interface.tag(call.request.headers());
+        let (mut request, is_upload_done) = self.backend_request(call, span.id(), address);
         let mut is_started = false;
         for _ in 0..MAX_STALE_CONNECTIONS {
             let mut lease = self.pool.checkout(address, deadline).await?;
@@ -231,12 +239,30 @@
                 Sent::Head(response) => {
                     slot.first_byte();
                     let whole_end = end_of(response.status());
-                    if let Err(failure) = check_framing(&response, &lease) {
-                        slot.set_end(RunEnd::Failed);
+                    let (head, incoming) = response.into_parts();
+                    let verdict = self.interface.judge(tag.as_ref(), &head);
+                    let response = Response::from_parts(head, incoming);
+                    if let Some(failure) = rejection(verdict) {
+                        slot.set_end(RunEnd::Rejected);
+                        span.end();
                         return Err(failure);
                     }
-                    let execution = Execution { lease, slot, span, is_upload_done, whole_end };
-                    return Ok(answer(*response, execution, deadline));
+                    let is_foreign = verdict == AnswerVerdict::Foreign;
+                    if is_foreign || !self.is_framed(&response, &lease) {
+                        slot.set_end(RunEnd::Failed);
+                        return Err(Reason::BadAnswer.into());
+                    }
+                    let length_bytes = response.body().size_hint().exact();
+                    let execution = Execution {
+                        lease,
+                        length_bytes,
+                        slot,
+                        span,
+                        is_upload_done,
+                        whole_end,
+                        allows_surplus: self.interface.allows_surplus(),
+                    };
+                    return Ok(answer(response, execution, deadline));
                 }
             }
         }
@@ -244,6 +270,49 @@
         Err(Reason::NoServer.into())
     }
 
+    /// The request as the backend server sees it, with the context of its execution.
+    fn backend_request(
+        &self,
+        call: GateCall,
+        span: SpanId,
+        address: SocketAddr,
+    ) -> (Request<Body>, Arc<AtomicBool>) {
+        let GateCall { service, request, context, deadline, .. } = call;
+        let (mut parts, body) = request.into_parts();
+        let deadline_ms = crate::datapath::left_us(deadline) / 1_000;
+        let context = CallContext { span: Some(span), deadline_ms, ..context };
+        let server_id = self.status.borrow().server_id.clone();
+        let about = BackendRequest {
+            service: &service,
+            context: &context,
+            deadline,
+            server_id: server_id.as_deref(),
+        };
+        self.interface.write(&mut parts, &about);
+        if !parts.headers.contains_key(header::HOST) {
+            let host = HeaderValue::from_str(&address.to_string());
+            parts.headers.insert(header::HOST, host.expect("an address is visible ASCII"));
+        }
+        parts.version = http::Version::HTTP_11;
+        let (upload, is_done) = UploadBody::new(body);
+        (Request::from_parts(parts, upload.boxed_unsync()), is_done)
+    }
+
+    /// Whether the end of an answer can be told, and no bytes follow an empty body.
+    fn is_framed(&self, response: &Response<Incoming>, lease: &Lease) -> bool {
+        let body = response.body();
+        let is_framed = body.is_end_stream()
+            || body.size_hint().exact().is_some()
+            || response.headers().contains_key(header::TRANSFER_ENCODING);
+        let is_upgrade = response.status() == StatusCode::SWITCHING_PROTOCOLS;
+        let has_surplus = body.is_end_stream()
+            && lease.body_bytes() > 0
+            && !response.headers().contains_key(header::TRANSFER_ENCODING);
+        (is_framed || self.interface.allows_unframed())
+            && !is_upgrade
+            && (!has_surplus || self.interface.allows_surplus())
+    }
+
     /// Records that the attempt starts, unless it was fenced.
     fn start(&self, attempt: AttemptKey, deadline: Instant) -> Result<(), Failure> {
         let now_us = self.clock.now_us();
@@ -296,44 +365,14 @@
     }
 }
 
-/// The request as the backend server sees it, with the context of its execution.
-fn backend_request(
-    call: GateCall,
-    span: SpanId,
-    address: SocketAddr,
-) -> (Request<Body>, Arc<std::sync::atomic::AtomicBool>) {
-    let GateCall { service, request, context, deadline, .. } = call;
-    let (mut parts, body) = request.into_parts();
-    let deadline_ms = crate::datapath::left_us(deadline) / 1_000;
-    let context = CallContext { span: Some(span), deadline_ms, ..context };
-    context.write_headers(&mut parts.headers);
-    if let Ok(value) = HeaderValue::from_str(&service) {
-        parts.headers.insert(headers::SERVICE, value);
-    }
-    if !parts.headers.contains_key(header::HOST) {
-        let host = HeaderValue::from_str(&address.to_string());
-        parts.headers.insert(header::HOST, host.expect("an address is visible ASCII"));
-    }
-    parts.version = http::Version::HTTP_11;
-    let (upload, is_done) = UploadBody::new(body);
-    (Request::from_parts(parts, upload.boxed_unsync()), is_done)
-}
-
-/// Refuses an answer whose end cannot be told, and one with bytes after an empty body.
-fn check_framing(response: &Response<Incoming>, lease: &Lease) -> Result<(), Failure> {
-    let body = response.body();
-    let is_framed = body.is_end_stream()
-        || body.size_hint().exact().is_some()
-        || response.headers().contains_key(header::TRANSFER_ENCODING);
-    // An answer that ends with its connection looks whole wherever it is cut.
-    let is_upgrade = response.status() == StatusCode::SWITCHING_PROTOCOLS;
-    let has_excess = body.is_end_stream()
-        && lease.body_bytes() > 0
-        && !response.headers().contains_key(header::TRANSFER_ENCODING);
-    if !is_framed || is_upgrade || has_excess {
-        return Err(Reason::BadAnswer.into());
+/// What a refusal of the backend server itself means for the caller.
+fn rejection(verdict: AnswerVerdict) -> Option<Failure> {
+    match verdict {
+        AnswerVerdict::NotRun { retry_after_ms } => {
+            Some(Failure::retry_after(Reason::Rejected, retry_after_ms))
+        }
+        AnswerVerdict::Own | AnswerVerdict::Foreign => None,
     }
-    Ok(())
 }
 
 fn end_of(status: StatusCode) -> RunEnd {
--- /dev/null
+++ b/crates/datapath/src/interface/caller_interface.rs
@@ -0,0 +1,32 @@
+use http::request::Parts;
+use http::Response;
+use tarragon_model::catalogue::Catalogue;
+use tarragon_policy::once::CallerDigest;
+
+use crate::datapath::DataPathSettings;
+use crate::interface::Inbound;
+use crate::transport::Body;
+use crate::transport::Failure;
+
+/// How the requests of callers are read and their answers written.
+pub trait CallerInterface: Send + Sync {
+    /// Checks a request and leaves only the headers that are forwarded as they are.
+    ///
+    /// # Errors
+    /// The request is malformed, or nothing in force allows it.
+    fn read(
+        &self,
+        parts: &mut Parts,
+        catalogue: &Catalogue,
+        settings: &DataPathSettings,
+    ) -> Result<Inbound, Failure>;
+
+    /// Tells callers apart whose repeats are throttled; none if they cannot be told apart.
+    fn caller(&self, parts: &Parts) -> Option<CallerDigest>;
+
+    /// Whether callers obtain idempotency keys here.
+    fn issues_keys(&self) -> bool;
+
+    /// The answer to the caller. `is_closing` asks it to use another connection from now on.
+    fn answer(&self, result: Result<Response<Body>, Failure>, is_closing: bool) -> Response<Body>;
+}
--- a/crates/datapath/src/entry/inbound.rs
+++ b/crates/datapath/src/interface/own_caller_interface.rs
@@ -1,48 +1,43 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use http::header::AUTHORIZATION;
 use http::header::HOST;
 use http::request::Parts;
 use http::HeaderMap;
+use http::HeaderValue;
+use http::Response;
 use http::StatusCode;
 use http::Uri;
 use tarragon_model::call::headers;
+use tarragon_model::call::Outcome;
 use tarragon_model::call::Reason;
 use tarragon_model::catalogue::Catalogue;
 use tarragon_model::identity::IdempotencyKey;
 use tarragon_policy::admission::WorkClass;
+use tarragon_policy::once::CallerDigest;
 
 use crate::datapath::DataPathSettings;
+use crate::interface::CallerInterface;
+use crate::interface::Inbound;
 use crate::transport::header_bytes;
 use crate::transport::strip_hop_headers;
 use crate::transport::strip_tarragon_headers;
+use crate::transport::Body;
 use crate::transport::Failure;
+use crate::transport::RemoteAddress;
 
-/// What a listener reads from a request before it forwards it.
-pub(crate) struct Inbound {
-    pub(crate) service: String,
-    /// Rank of the operation.
-    pub(crate) rank: u8,
-    /// Rank of the least important operation of the service.
-    pub(crate) lowest_rank: u8,
-    pub(crate) is_idempotent: bool,
-    pub(crate) class: WorkClass,
-    /// Deadline that the request asks for, if any.
-    pub(crate) asked: Option<Instant>,
-    /// Deadline of requests that ask for none.
-    pub(crate) default_deadline: Instant,
-    /// Key, if the operation needs one.
-    pub(crate) key: Option<IdempotencyKey>,
-}
+/// The project's own headers, see `docs/CALLERS.md`.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct OwnCallerInterface;
 
-impl Inbound {
-    /// Checks a request against the limits and the catalogue, and leaves only the headers that
-    /// are forwarded as they are.
-    pub(crate) fn read(
+impl CallerInterface for OwnCallerInterface {
+    fn read(
+        &self,
         parts: &mut Parts,
         catalogue: &Catalogue,
         settings: &DataPathSettings,
-    ) -> Result<Self, Failure> {
+    ) -> Result<Inbound, Failure> {
         let uri_bytes = parts.uri.path_and_query().map_or(1, |path| path.as_str().len());
         if header_bytes(&parts.headers) + uri_bytes > settings.max_header_bytes {
             let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
@@ -58,7 +53,8 @@
         let now = Instant::now();
         let limit_ms = settings.max_deadline_ms;
         let asked = asked_ms(&parts.headers)?;
-        let inbound = Self {
+        let inbound = Inbound {
+            label: String::new(),
             rank: found.rank,
             lowest_rank: ranks.max().unwrap_or(u8::MAX),
             is_idempotent,
@@ -66,6 +62,8 @@
             asked: asked.map(|ms| now + Duration::from_millis(ms.min(limit_ms))),
             default_deadline: now + Duration::from_millis(spec.default_deadline_ms.min(limit_ms)),
             key: if is_idempotent { None } else { key(&parts.headers)? },
+            max_attempts: None,
+            max_body_bytes: u64::MAX,
             service,
         };
         strip_hop_headers(&mut parts.headers);
@@ -73,6 +71,36 @@
         parts.uri = parts.uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from);
         Ok(inbound)
     }
+
+    /// Tells callers apart by their credentials, or by their address if they send none.
+    fn caller(&self, parts: &Parts) -> Option<CallerDigest> {
+        let address = parts.extensions.get::<RemoteAddress>();
+        let hash = match (parts.headers.get(AUTHORIZATION), address) {
+            (Some(credentials), _) => blake3::hash(credentials.as_bytes()),
+            (None, Some(RemoteAddress(address))) => {
+                blake3::hash(address.ip().to_string().as_bytes())
+            }
+            (None, None) => blake3::hash(&[]),
+        };
+        let mut digest = [0; 16];
+        digest.copy_from_slice(&hash.as_bytes()[..16]);
+        Some(CallerDigest(digest))
+    }
+
+    fn issues_keys(&self) -> bool {
+        true
+    }
+
+    fn answer(&self, result: Result<Response<Body>, Failure>, _is_closing: bool) -> Response<Body> {
+        match result {
+            Ok(mut response) => {
+                let value = HeaderValue::from_static(Outcome::Answered.as_str());
+                response.headers_mut().insert(headers::OUTCOME, value);
+                response
+            }
+            Err(failure) => failure.into_response(),
+        }
+    }
 }
 
 /// The service named by the header, or else by the first label of the host.
--- a/crates/datapath/src/lib.rs
+++ b/crates/datapath/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod directory;
 pub mod entry;
 pub mod gate;
+pub mod interface;
 pub mod peer;
 pub mod transport;
--- a/crates/datapath/src/transport/failure.rs
+++ b/crates/datapath/src/transport/failure.rs
@@ -39,6 +39,11 @@
         Self { status, ..Self::from(reason) }
     }
 
+    /// Failure after which another try may succeed in some ms.
+    pub fn retry_after(reason: Reason, retry_after_ms: u64) -> Self {
+        Self { retry_after_ms, ..Self::from(reason) }
+    }
+
     /// The outcome that the caller learns.
     pub fn outcome(&self) -> Outcome {
         self.reason.outcome()
--- a/crates/datapath/tests/announcements.rs
+++ b/crates/datapath/tests/announcements.rs
@@ -8,6 +8,7 @@
 use tarragon_kernel::Kernel;
 use tarragon_kernel::Service;
 use tarragon_model::api::Announcement;
+use tarragon_model::api::ServerIdentity;
 use tarragon_model::member::BackendState;
 use tokio_util::sync::CancellationToken;
 
@@ -19,6 +20,7 @@
         cold_start_ms: 2_000,
         ttl_ms: 1_000,
         draining: false,
+        server: None,
     }
 }
 
@@ -72,3 +74,42 @@
     })
     .await;
 }
+
+fn from_start(started_at_ms: u64, sequence: u64, draining: bool) -> Announcement {
+    let id = format!("server-{started_at_ms}");
+    let server = Some(ServerIdentity { id, started_at_ms, sequence });
+    Announcement { draining, cold_start_ms: 0, server, ..announcement() }
+}
+
+/// Guards against an announcement that was held up on its way and revives or drains a later start.
+#[tokio::test(start_paused = true)]
+async fn an_outdated_announcement_changes_nothing() {
+    with_announcements(|announcements| async move {
+        assert!(announcements.announce(from_start(1_000, 7, false)));
+        assert!(!announcements.announce(from_start(1_000, 6, true)));
+        assert_eq!(announcements.present().state, BackendState::Ready);
+        assert!(announcements.announce(from_start(2_000, 0, false)));
+        assert!(!announcements.announce(from_start(1_000, 8, true)));
+        let present = announcements.present();
+        assert_eq!(present.state, BackendState::Ready);
+        assert_eq!(present.server_id.as_deref(), Some("server-2000"));
+    })
+    .await;
+}
+
+/// Guards against new work for a start that has left and still announces itself.
+#[tokio::test(start_paused = true)]
+async fn a_start_that_left_stays_drained_until_a_later_one_comes() {
+    with_announcements(|announcements| async move {
+        announcements.announce(from_start(1_000, 7, false));
+        assert!(announcements.leave("server-1000", Some(1_000)));
+        assert_eq!(announcements.present().state, BackendState::Draining);
+        assert!(!announcements.announce(from_start(1_000, 8, false)));
+        assert_eq!(announcements.present().state, BackendState::Draining);
+        assert!(announcements.announce(from_start(2_000, 0, false)));
+        assert_eq!(announcements.present().state, BackendState::Ready);
+        assert!(!announcements.leave("server-1000", Some(1_000)));
+        assert_eq!(announcements.present().state, BackendState::Ready);
+    })
+    .await;
+}
--- a/crates/datapath/tests/datapath/support/cluster.rs
+++ b/crates/datapath/tests/datapath/support/cluster.rs
@@ -15,8 +15,11 @@
 use tarragon_datapath::datapath::Environment;
 use tarragon_datapath::datapath::Metrics;
 use tarragon_datapath::datapath::Policies;
+use tarragon_datapath::datapath::Serving;
 use tarragon_datapath::directory::DirectoryWatch;
 use tarragon_datapath::gate::GateHandle;
+use tarragon_datapath::interface::OwnBackendInterface;
+use tarragon_datapath::interface::OwnCallerInterface;
 use tarragon_kernel::Kernel;
 use tarragon_kernel::KernelError;
 use tarragon_model::catalogue::Catalogue;
@@ -180,6 +183,7 @@
                 address: Some(address),
                 slots: 10,
                 state: BackendState::Ready,
+                server_id: None,
             },
             None => BackendStatus::absent(),
         };
@@ -193,6 +197,9 @@
             backend: Arc::new(TestBackend(status.subscribe())),
             claims: Arc::clone(&self.claims) as Arc<dyn KeyClaims>,
             metrics: Arc::clone(&metrics) as Arc<dyn Metrics>,
+            caller_interface: Arc::new(OwnCallerInterface),
+            backend_interface: Arc::new(OwnBackendInterface),
+            serving: watch::channel(Serving::Yes).1,
         };
         let policies = Policies {
             admission: Box::new(FixedLimit::new(self.limit, 100)),
--- a/crates/model/src/api/mod.rs
+++ b/crates/model/src/api/mod.rs
@@ -6,6 +6,7 @@
 mod status;
 
 pub use announcement::Announcement;
+pub use announcement::ServerIdentity;
 pub use drain::DrainAnswer;
 pub use drain::DrainRequest;
 pub use replica::InitRequest;
--- a/crates/model/src/call/outcome.rs
+++ b/crates/model/src/call/outcome.rs
@@ -91,6 +91,10 @@
     Draining = "draining", NotRun, SERVICE_UNAVAILABLE;
     /// The attempt was fenced before it started.
     Fenced = "fenced", NotRun, SERVICE_UNAVAILABLE;
+    /// The backend server refused the request without running it.
+    Rejected = "rejected", NotRun, SERVICE_UNAVAILABLE;
+    /// The node does not know yet what is in force.
+    NotReady = "not-ready", NotRun, SERVICE_UNAVAILABLE;
     /// The caller repeats requests faster than allowed.
     Throttled = "throttled", NotRun, TOO_MANY_REQUESTS;
     /// The key belongs to another caller or another request.
@@ -114,6 +118,14 @@
     WrongInstance = "wrong-instance", Unknown, BAD_GATEWAY;
 }
 
+impl Reason {
+    /// Whether a backend server may have seen the request, so that sending it again adds to the
+    /// work of the service.
+    pub fn has_reached_server(self) -> bool {
+        self.outcome() == Outcome::Unknown || self == Self::Rejected
+    }
+}
+
 impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.as_str())
--- a/crates/model/src/catalogue/changes.rs
+++ b/crates/model/src/catalogue/changes.rs
@@ -1,11 +1,11 @@
-use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::configuration::Configuration;
 use crate::note::ServiceSpec;
 
 /// What changed in a catalogue between two revisions.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CatalogueChanges {
     /// Revision that the receiver must have reached for the changes to fit.
     pub from_revision: u64,
@@ -17,4 +17,6 @@
     pub withdrawn: Vec<String>,
     /// The order of importance, if it changed.
     pub importance: Option<Vec<String>>,
+    /// The whole configuration, if it changed.
+    pub configuration: Option<Configuration>,
 }
--- a/crates/model/src/catalogue/state.rs
+++ b/crates/model/src/catalogue/state.rs
@@ -7,6 +7,8 @@
 use crate::catalogue::CatalogueChanges;
 use crate::catalogue::SubmitAnswer;
 use crate::check::Mistake;
+use crate::configuration::Configuration;
+use crate::configuration::ConfigureAnswer;
 use crate::note::check_graph;
 use crate::note::OperationSpec;
 use crate::note::ReleaseNote;
@@ -15,7 +17,7 @@
 /// Most operation kinds that an importance order may have, because a rank is one byte.
 const MAX_KINDS: usize = 200;
 
-/// Identity of an accepted note, kept for ever so that a note sent again gets its first answer.
+/// Identity of an accepted note or configuration, kept for ever so that a note sent again gets its first answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AcceptedNote {
     /// Id of the note.
@@ -24,7 +26,7 @@
     pub digest: [u8; 16],
 }
 
-/// The services and the order of importance that are in force.
+/// The services, the order of importance and the configuration that are in force.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Catalogue {
     revision: u64,
@@ -33,6 +35,8 @@
     withdrawn_revisions: BTreeMap<String, u64>,
     importance: Vec<String>,
     importance_revision: u64,
+    configuration: Option<Configuration>,
+    configuration_revision: u64,
     accepted: Vec<AcceptedNote>,
 }
 
@@ -48,7 +52,7 @@
 }
 
 impl Catalogue {
-    /// Number of notes accepted so far; it never goes down.
+    /// Number of notes and configurations accepted so far; it never goes down.
     pub fn revision(&self) -> u64 {
         self.revision
     }
@@ -63,7 +67,13 @@
         &self.importance
     }
 
-    /// Accepted notes; the note at index `i` has version `i + 1`. Empty on a node's copy.
+    /// The whole configuration in force, if operators submitted any.
+    pub fn configuration(&self) -> Option<&Configuration> {
+        self.configuration.as_ref()
+    }
+
+    /// Accepted notes and configurations; the one at index `i` has revision `i + 1`. Empty on a
+    /// node's copy.
     pub fn accepted(&self) -> &[AcceptedNote] {
         &self.accepted
     }
@@ -78,6 +88,8 @@
             withdrawn_revisions: self.withdrawn_revisions.clone(),
             importance: self.importance.clone(),
             importance_revision: self.importance_revision,
+            configuration: self.configuration.as_ref().map(Configuration::without_document),
+            configuration_revision: self.configuration_revision,
             accepted: Vec::new(),
         }
     }
@@ -114,6 +126,35 @@
         SubmitAnswer::Accepted { revision: self.revision }
     }
 
+    /// Applies a submitted configuration if it builds on the current one.
+    ///
+    /// One that was accepted before gets the same answer again, whatever came after it: the sender
+    /// may have lost the first answer.
+    pub fn configure(&mut self, next: &Configuration) -> ConfigureAnswer {
+        let (id, digest) = (configuration_id(next.version), next.digest());
+        let is_repeat = |known: &AcceptedNote| known.id == id && known.digest == digest;
+        if self.accepted.iter().rev().any(is_repeat) {
+            return ConfigureAnswer::Accepted;
+        }
+        let current_version = self.configuration.as_ref().map_or(0, |known| known.version);
+        if next.base_version != current_version {
+            return ConfigureAnswer::Conflict { current_version };
+        }
+        let mut mistakes = next.mistakes();
+        if next.version <= current_version {
+            let message = format!("must be above the current version {current_version}");
+            mistakes.push(Mistake::new("$.version", message));
+        }
+        if !mistakes.is_empty() {
+            return ConfigureAnswer::Invalid { mistakes };
+        }
+        self.revision += 1;
+        self.configuration = Some(next.clone());
+        self.configuration_revision = self.revision;
+        self.accepted.push(AcceptedNote { id, digest });
+        ConfigureAnswer::Accepted
+    }
+
     /// Answers a note whose version is not the next one: its first answer, or a conflict.
     fn answer_repeat(&self, note: &ReleaseNote, digest: &[u8; 16]) -> SubmitAnswer {
         let at = note.version.checked_sub(1).and_then(|at| usize::try_from(at).ok());
@@ -202,6 +243,11 @@
             services: changed.map(|(name, _)| self.services[name].clone()).collect(),
             withdrawn: withdrawn.map(|(name, _)| name.clone()).collect(),
             importance: is_newer(&self.importance_revision).then(|| self.importance.clone()),
+            configuration: self
+                .configuration
+                .as_ref()
+                .filter(|_| is_newer(&self.configuration_revision))
+                .map(Configuration::without_document),
         }
     }
 
@@ -225,6 +271,10 @@
             self.importance = importance.clone();
             self.importance_revision = changes.to_revision;
         }
+        if let Some(configuration) = &changes.configuration {
+            self.configuration = Some(configuration.clone());
+            self.configuration_revision = changes.to_revision;
+        }
         self.revision = changes.to_revision;
         true
     }
@@ -252,6 +302,12 @@
     }
 }
 
+/// Identity of a configuration among the accepted notes. The blank keeps it apart from the ids of
+/// notes that operators choose.
+fn configuration_id(version: u64) -> String {
+    format!("configuration {version}")
+}
+
 fn check_importance(importance: &[String]) -> Vec<Mistake> {
     let mut mistakes = Vec::new();
     if importance.len() > MAX_KINDS {
--- /dev/null
+++ b/crates/model/src/configuration/mod.rs
@@ -0,0 +1,15 @@
+//! Whole configurations: the complete set of routes that is in force, as an alternative to release
+//! notes for operators who write all of it at once. See `docs/design.md`, section 5.1.
+
+mod answer;
+mod limits;
+mod route;
+mod whole;
+
+pub use answer::ConfigureAnswer;
+pub use limits::CallerLimits;
+pub use route::RepeatRule;
+pub use route::Route;
+pub use route::ServiceLimits;
+pub use route::Target;
+pub use whole::Configuration;
--- /dev/null
+++ b/crates/model/src/configuration/route.rs
@@ -0,0 +1,61 @@
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Whether a request may run more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum RepeatRule {
+    /// It may.
+    Idempotent,
+    /// It may not.
+    AtMostOnce,
+    /// It may not, and its body is large.
+    AtMostOnceLarge,
+}
+
+impl RepeatRule {
+    /// Whether the request may run more than once.
+    pub fn is_idempotent(self) -> bool {
+        self == Self::Idempotent
+    }
+}
+
+/// A service that takes a share of the requests of a route.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Target {
+    /// Name of the service.
+    pub service: String,
+    /// Share relative to the weights of the other targets.
+    pub weight: u32,
+}
+
+/// Requests of one host below one path prefix.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Route {
+    /// Name of the route, for logs.
+    pub name: String,
+    /// Host that callers name, in lower case.
+    pub host: String,
+    /// Prefix of the path; it ends with a slash.
+    pub path_prefix: String,
+    /// Whether requests may run more than once.
+    pub repeat: RepeatRule,
+    /// Longest time that a caller is kept waiting, in ms.
+    pub time_limit_ms: u64,
+    /// Time within which an answer is of full use to the caller, in ms.
+    pub objective_ms: u64,
+    /// Importance rank, 0 is the most important.
+    pub rank: u8,
+    /// Most backend servers that one request may be sent to.
+    pub max_attempts: u32,
+    /// Where the requests go.
+    pub targets: Vec<Target>,
+}
+
+/// Limits of the backend servers of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceLimits {
+    /// Name of the service.
+    pub name: String,
+    /// Most connections that one of its backend servers accepts.
+    pub max_connections: u32,
+}
--- /dev/null
+++ b/crates/model/src/configuration/whole.rs
@@ -0,0 +1,112 @@
+use std::collections::BTreeSet;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::check::Mistake;
+use crate::configuration::CallerLimits;
+use crate::configuration::Route;
+use crate::configuration::ServiceLimits;
+
+/// Longest time limit of a route, in ms.
+const MAX_TIME_LIMIT_MS: u64 = 600_000;
+
+/// An objective this much above the time limit of its route can only be a mistake, in ms.
+const MAX_OBJECTIVE_EXCESS_MS: u64 = 60_000;
+
+/// The complete set of routes, as operators submit it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Configuration {
+    /// Rises with every accepted configuration, not always by one.
+    pub version: u64,
+    /// Version that it builds on; 0 for the first.
+    pub base_version: u64,
+    /// Routes, ordered by host and path prefix.
+    routes: Vec<Route>,
+    /// Services that routes may name.
+    pub services: Vec<ServiceLimits>,
+    /// Limits for callers.
+    pub limits: CallerLimits,
+    /// The text that was submitted, which is read back unchanged. Empty on a node's copy.
+    pub document: String,
+}
+
+impl Configuration {
+    /// Creates a configuration and puts its routes in order.
+    pub fn new(
+        (version, base_version): (u64, u64),
+        mut routes: Vec<Route>,
+        services: Vec<ServiceLimits>,
+        limits: CallerLimits,
+        document: String,
+    ) -> Self {
+        routes.sort_by(|a, b| key(a).cmp(&key(b)));
+        Self { version, base_version, routes, services, limits, document }
+    }
+
+    /// Routes, ordered by host and path prefix.
+    pub fn routes(&self) -> &[Route] {
+        &self.routes
+    }
+
+    /// A copy for nodes, which never read the document back.
+    pub fn without_document(&self) -> Self {
+        let Self { version, base_version, routes, services, limits, .. } = self.clone();
+        Self { version, base_version, routes, services, limits, document: String::new() }
+    }
+
+    /// The route of a request: of those of its host, the one with the longest prefix of the path.
+    pub fn find_route(&self, host: &str, path: &str) -> Option<&Route> {
+        let prefixes = path.rmatch_indices('/').map(|(at, _)| &path[..=at]);
+        prefixes.into_iter().find_map(|prefix| {
+            let at = self.routes.binary_search_by(|route| key(route).cmp(&(host, prefix))).ok()?;
+            self.routes.get(at)
+        })
+    }
+
+    /// Digest of the content, by which a configuration that is sent again is recognised.
+    pub fn digest(&self) -> [u8; 16] {
+        let bytes = serde_json::to_vec(&self.without_document());
+        let mut digest = [0; 16];
+        let hash = blake3::hash(&bytes.expect("a configuration is valid JSON"));
+        digest.copy_from_slice(&hash.as_bytes()[..16]);
+        digest
+    }
+
+    /// Every mistake in the content; the version is checked against the current one elsewhere.
+    pub fn mistakes(&self) -> Vec<Mistake> {
+        let mut mistakes = Vec::new();
+        let known: BTreeSet<&str> = self.services.iter().map(|s| s.name.as_str()).collect();
+        for pair in self.routes.windows(2).filter(|pair| key(&pair[0]) == key(&pair[1])) {
+            let message = format!("has the host and path prefix of route '{}'", pair[0].name);
+            mistakes.push(Mistake::new(path_of(&pair[1]), message));
+        }
+        for route in &self.routes {
+            let mut add = |message: String| mistakes.push(Mistake::new(path_of(route), message));
+            for target in route.targets.iter().filter(|t| !known.contains(t.service.as_str())) {
+                add(format!("unknown service '{}'", target.service));
+            }
+            if route.targets.iter().all(|target| target.weight == 0) {
+                add("no target has a weight".into());
+            }
+            if route.time_limit_ms == 0 || route.time_limit_ms > MAX_TIME_LIMIT_MS {
+                add(format!("the time limit must be 1 to {MAX_TIME_LIMIT_MS} ms"));
+            }
+            if route.objective_ms >= route.time_limit_ms.saturating_add(MAX_OBJECTIVE_EXCESS_MS) {
+                add("the objective is far above the time limit".into());
+            }
+            if route.max_attempts == 0 {
+                add("at least one attempt is needed".into());
+            }
+        }
+        mistakes
+    }
+}
+
+fn key(route: &Route) -> (&str, &str) {
+    (&route.host, &route.path_prefix)
+}
+
+fn path_of(route: &Route) -> String {
+    format!("$.routes.{}", route.name)
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod catalogue;
 pub mod check;
+pub mod configuration;
 pub mod identity;
 pub mod member;
 pub mod note;
--- a/crates/node/src/app/mod.rs
+++ b/crates/node/src/app/mod.rs
@@ -1,5 +1,6 @@
 //! Assembles the daemon from its services and runs it until it is told to stop.
 
+mod adapter;
 mod app_error;
 mod late_gate;
 mod logging;
@@ -8,5 +9,10 @@
 mod shutdown;
 mod statsd;
 
+pub use adapter::Adapter;
+pub use adapter::NodeState;
+pub use adapter::ANNOUNCEMENTS;
+pub use adapter::CONTROL_LOG;
+pub use adapter::NODE_STATE;
 pub use app_error::AppError;
 pub use node::run_node;
--- a/crates/node/src/app/node.rs
+++ b/crates/node/src/app/node.rs
@@ -1,3 +1,4 @@
+use std::num::NonZeroUsize;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,10 +21,13 @@
 use tarragon_control::control::RemoteLog;
 use tarragon_control::members::MembershipService;
 use tarragon_control::members::MembershipServiceParts;
+use tarragon_control::replica::LogFormation;
 use tarragon_control::replica::ReplicaAddresses;
 use tarragon_control::replica::ReplicaLog;
 use tarragon_control::replica::ReplicaService;
 use tarragon_control::replica::ReplicaServiceParts;
+use tarragon_control::replica::ReplicaSupervisor;
+use tarragon_control::replica::ReplicaSupervisorParts;
 use tarragon_datapath::backend::Announcements;
 use tarragon_datapath::backend::OwnBackend;
 use tarragon_datapath::datapath::DataPath;
@@ -31,6 +35,7 @@
 use tarragon_datapath::datapath::Environment;
 use tarragon_datapath::datapath::Metrics;
 use tarragon_datapath::datapath::NoMetrics;
+use tarragon_datapath::datapath::Serving;
 use tarragon_datapath::directory::Directory;
 use tarragon_datapath::directory::DirectoryWatch;
 use tarragon_kernel::Kernel;
@@ -41,11 +46,18 @@
 use tarragon_model::member::BackendState;
 use tarragon_model::member::MemberRecord;
 use tarragon_wire::DeploymentKey;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 use tracing::warn;
 
+use crate::app::adapter::Adapter;
+use crate::app::adapter::NodeState;
+use crate::app::adapter::ANNOUNCEMENTS;
+use crate::app::adapter::CONTROL_LOG;
+use crate::app::adapter::NODE_STATE;
 use crate::app::late_gate::LateGate;
 use crate::app::logging::start_logging;
 use crate::app::policies::policies;
@@ -69,23 +81,27 @@
 /// Pause after the log could not tell its revision, in ms.
 const CONFIRM_PAUSE_MS: u64 = 100;
 
-/// Time between the start of the drain and the end of listening, in ms; membership needs about a
-/// second to tell the other nodes.
-const DRAIN_NOTICE_MS: u64 = 1_500;
-
 /// Runs a node until SIGTERM or SIGINT, then drains it.
 ///
 /// # Errors
 /// Names the step that failed.
-pub fn run_node(settings: Settings) -> Result<(), Report<AppError>> {
+pub fn run_node(settings: Settings, adapter: Adapter) -> Result<(), Report<AppError>> {
     start_logging(&settings.log)?;
-    let runtime = tokio::runtime::Runtime::new().change_context(AppError::Runtime)?;
-    runtime.block_on(async {
+    runtime()?.block_on(async {
         let signals = StopSignals::new();
-        Node::build(settings).await?.run(signals).await
+        Node::build(settings, adapter).await?.run(signals).await
     })
 }
 
+/// A runtime with threads for the cores that there are. On one core a single thread saves memory
+/// and the wake-ups between threads.
+fn runtime() -> Result<Runtime, Report<AppError>> {
+    let cores = std::thread::available_parallelism().map_or(1, NonZeroUsize::get);
+    let mut builder =
+        if cores > 1 { Builder::new_multi_thread() } else { Builder::new_current_thread() };
+    builder.enable_all().build().change_context(AppError::Runtime)
+}
+
 /// The control side of a node, and what its data path will be built from.
 struct Node {
     settings: Settings,
@@ -96,11 +112,13 @@
     log: Arc<dyn ControlLog>,
     gate: Arc<LateGate>,
     environment: Environment,
+    serving: watch::Sender<Serving>,
     control_services: Vec<Arc<dyn Service>>,
+    adapter_services: Vec<Arc<dyn Service>>,
 }
 
 impl Node {
-    async fn build(settings: Settings) -> Result<Self, Report<AppError>> {
+    async fn build(settings: Settings, adapter: Adapter) -> Result<Self, Report<AppError>> {
         let deployment_key = DeploymentKey::from_file(&settings.deployment_key_file)
             .change_context(AppError::Keys)?;
         let operator_key =
@@ -180,7 +198,21 @@
             Arc::new(follower),
             Arc::new(api),
         ];
+        if let (Some(replica), Some(formation)) = (&replica, &settings.formation) {
+            let supervisor = ReplicaSupervisor::new(ReplicaSupervisorParts {
+                replica: replica.handle().clone(),
+                formation: LogFormation {
+                    is_first_start: formation.is_first_start,
+                    founders: formation.founders.clone(),
+                    own_address: settings.control_address(),
+                },
+                directory: Arc::clone(&directory),
+                deployment_key: deployment_key.clone(),
+            });
+            control_services.push(Arc::new(supervisor));
+        }
         control_services.extend(replica.map(|replica| Arc::new(replica) as Arc<dyn Service>));
+        let (serving, serving_receiver) = watch::channel(Serving::default());
         let environment = Environment {
             instance,
             key: deployment_key,
@@ -188,6 +220,9 @@
             backend: Arc::clone(&announcements) as _,
             claims: Arc::new(LogClaims::new(Arc::clone(&log), settings.limits.key_retention_s)),
             metrics,
+            caller_interface: adapter.caller_interface,
+            backend_interface: adapter.backend_interface,
+            serving: serving_receiver,
         };
         Ok(Self {
             settings,
@@ -198,7 +233,9 @@
             log,
             gate,
             environment,
+            serving,
             control_services,
+            adapter_services: adapter.services,
         })
     }
 
@@ -206,7 +243,11 @@
     async fn run(self, signals: StopSignals) -> Result<(), Report<AppError>> {
         let kernel = Arc::new(Kernel::new());
         let control_stop = CancellationToken::new();
-        let control = Arc::clone(&kernel).run(self.control_services.clone(), control_stop.clone());
+        kernel.provide::<Announcements>(ANNOUNCEMENTS, Arc::clone(&self.announcements));
+        kernel.provide::<dyn ControlLog>(CONTROL_LOG, Arc::clone(&self.log));
+        kernel.provide::<NodeState>(NODE_STATE, Arc::new(self.state()));
+        let services = [self.control_services.clone(), self.adapter_services.clone()].concat();
+        let control = Arc::clone(&kernel).run(services, control_stop.clone());
         let data = async {
             let result = self.run_data_path(kernel, signals, &control_stop).await;
             control_stop.cancel();
@@ -222,30 +263,31 @@
         mut signals: StopSignals,
         control_stop: &CancellationToken,
     ) -> Result<(), Report<AppError>> {
-        tokio::select! {
-            () = self.ready() => {}
-            () = control_stop.cancelled() => return Ok(()),
-            () = signals.requested() => return Ok(()),
-        }
         let settings = data_path_settings(&self.settings);
         let policies = policies(&self.settings, self.environment.instance);
-        let data_path = DataPath::bind(settings, self.environment, policies)
+        let notice = Duration::from_millis(self.settings.limits.drain_notice_ms);
+        let data_path = DataPath::bind(settings, self.environment.clone(), policies)
             .await
             .change_context(AppError::Bind("data path"))?;
         self.gate.set(data_path.gate());
-        let revision = self.copy.borrow().revision();
-        info!("kernel: callers are served, revision {revision} is in force");
         let data_stop = CancellationToken::new();
         let mut running = pin!(kernel.run(data_path.services(), data_stop.clone()));
-        let drained = async {
+        let stopped = async {
             tokio::select! {
                 () = signals.requested() => {}
                 () = control_stop.cancelled() => {}
             }
+        };
+        let drained = async {
+            tokio::select! {
+                () = stopped => {}
+                () = self.serve() => {}
+            }
             info!("drain: stop requested");
+            self.serving.send_replace(Serving::Ending);
             self.announcements.set_drain(true);
-            // Other nodes learn of the drain before the listeners close.
-            tokio::time::sleep(Duration::from_millis(DRAIN_NOTICE_MS)).await;
+            // Other nodes and callers learn of the drain before the listeners close.
+            tokio::time::sleep(notice).await;
             data_path.gate().idle().await;
             info!("drain: no request is in progress");
             data_stop.cancel();
@@ -258,6 +300,19 @@
         result.change_context(AppError::Run)
     }
 
+    /// Lets callers in once the node is ready. It never ends by itself.
+    async fn serve(&self) {
+        self.ready().await;
+        self.serving.send_replace(Serving::Yes);
+        let revision = self.copy.borrow().revision();
+        info!(revision, "kernel: callers are served");
+        std::future::pending::<()>().await;
+    }
+
+    fn state(&self) -> NodeState {
+        NodeState { serving: self.serving.subscribe(), catalogue: self.copy.clone() }
+    }
+
     /// Waits until the node has joined and its catalogue has reached every revision it heard of.
     ///
     /// The members alone are not enough: after a failure of a whole deployment they have all
@@ -338,6 +393,7 @@
         long_work_ms: limits.long_work_ms,
         max_backend_connections: limits.max_backend_connections as usize,
         heartbeat_timeout_ms: limits.heartbeat_timeout_ms,
+        backend_idle_ms: limits.backend_idle_ms,
         ..DataPathSettings::new(
             &settings.node_name,
             &settings.data_centre,
@@ -380,7 +436,7 @@
         region: settings.region.clone(),
         gossip_address: advertise.gossip_address.unwrap_or(listen.gossip_address),
         peer_address: advertise.peer_address.unwrap_or(listen.peer_address),
-        control_address: advertise.control_address.unwrap_or(listen.control_address),
+        control_address: settings.control_address(),
         replica_address: listen.replica_address.map(|a| advertise.replica_address.unwrap_or(a)),
         service: String::new(),
         state: BackendState::Absent,
--- a/crates/node/src/app/policies.rs
+++ b/crates/node/src/app/policies.rs
@@ -16,8 +16,12 @@
 /// Builds the decisions of a node from its settings.
 pub fn policies(settings: &Settings, instance: InstanceId) -> Policies {
     let limits = &settings.limits;
-    let retry =
-        RetrySettings { tokens_per_request: limits.retry_tokens, ..RetrySettings::default() };
+    let retry = RetrySettings {
+        tokens_per_request: limits.retry_tokens,
+        retry_percent: limits.retry_percent,
+        floor_retries: limits.retry_floor,
+        ..RetrySettings::default()
+    };
     let once = OnceSettings { key_retention_s: limits.key_retention_s, ..OnceSettings::default() };
     Policies {
         admission: Box::new(AdaptiveAdmission::new(&AdmissionSettings::default())),
--- a/crates/node/src/conf/check.rs
+++ b/crates/node/src/conf/check.rs
@@ -68,7 +68,7 @@
 }
 
 fn check_replicas(settings: &Settings, mistakes: &mut Vec<Mistake>) {
-    if settings.control_replicas.is_empty() {
+    if settings.control_replicas.is_empty() && settings.formation.is_none() {
         mistakes.push(Mistake::new("$.control_replicas", "must name at least one replica"));
     }
     let mut names = HashSet::new();
@@ -78,6 +78,9 @@
             mistakes.push(Mistake::new(path, format!("'{}' is named twice", replica.node_name)));
         }
     }
+    if settings.formation.as_ref().is_some_and(|formation| formation.founders.is_empty()) {
+        mistakes.push(Mistake::new("$.formation.founders", "must name at least one replica"));
+    }
     if settings.data_dir.is_some() && settings.listen.replica_address.is_none() {
         mistakes.push(Mistake::new("$.listen.replica_address", "is required with data_dir"));
     }
@@ -94,6 +97,7 @@
         ("heartbeat_timeout_ms", limits.heartbeat_timeout_ms),
         ("key_retention_s", limits.key_retention_s),
         ("long_work_ms", limits.long_work_ms),
+        ("backend_idle_ms", limits.backend_idle_ms),
     ];
     for (name, value) in at_least_one {
         if value == 0 {
@@ -104,6 +108,9 @@
     if limits.max_head_bytes < 8192 {
         mistakes.push(Mistake::new("$.limits.max_head_bytes", "must be at least 8192"));
     }
+    if limits.retry_percent > 100 {
+        mistakes.push(Mistake::new("$.limits.retry_percent", "must be at most 100"));
+    }
     if limits.retry_tokens > 100 {
         mistakes.push(Mistake::new("$.limits.retry_tokens", "must be at most 100"));
     }
--- a/crates/node/src/conf/mod.rs
+++ b/crates/node/src/conf/mod.rs
@@ -8,6 +8,7 @@
 pub use load::load_settings;
 pub use load::SettingsError;
 pub use settings::Advertise;
+pub use settings::Formation;
 pub use settings::Limits;
 pub use settings::Listen;
 pub use settings::LogFormat;
--- a/crates/node/src/conf/settings.rs
+++ b/crates/node/src/conf/settings.rs
@@ -24,8 +24,12 @@
     /// Membership addresses of some other nodes, to join by.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
-    /// The control replicas of the deployment when it was set up.
+    /// The control replicas of the deployment when it was set up; may be empty with `formation`.
+    #[serde(default)]
     pub control_replicas: Vec<ControlReplica>,
+    /// How the replicated log forms itself; without it an operator starts it.
+    #[serde(default)]
+    pub formation: Option<Formation>,
     /// Folder for durable state; makes this node a control replica.
     #[serde(default)]
     pub data_dir: Option<PathBuf>,
@@ -44,6 +48,13 @@
     pub limits: Limits,
 }
 
+impl Settings {
+    /// Control address at which other nodes reach this one.
+    pub fn control_address(&self) -> SocketAddr {
+        self.advertise.control_address.unwrap_or(self.listen.control_address)
+    }
+}
+
 /// Addresses that a node listens on; other nodes reach it at the same addresses unless
 /// [`Advertise`] names others.
 #[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
@@ -79,6 +90,17 @@
     pub replica_address: Option<SocketAddr>,
 }
 
+/// How the replicated log forms itself, and follows the hosts that hold replicas from then on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Formation {
+    /// Whether the whole deployment starts for the first time, with empty disks.
+    #[serde(default)]
+    pub is_first_start: bool,
+    /// Control addresses of the replicas that form the log; the same on every node.
+    pub founders: Vec<SocketAddr>,
+}
+
 /// Format of log lines.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
@@ -124,6 +146,15 @@
     pub key_retention_s: u64,
     /// Expected run time from which work counts as long, in ms.
     pub long_work_ms: u64,
+    /// Time for which an idle connection to the backend server may be used again, in ms.
+    pub backend_idle_ms: u64,
+    /// Time for which callers and other nodes are served after a stop was asked for, so that they
+    /// learn of it, in ms.
+    pub drain_notice_ms: u64,
+    /// Retries that the nodes make for a service, in percent of its requests.
+    pub retry_percent: u32,
+    /// Retries that this node makes for a service in each window of 10 s, however few its requests.
+    pub retry_floor: u32,
 }
 
 impl Default for Limits {
@@ -136,6 +167,10 @@
             heartbeat_timeout_ms: 1500,
             key_retention_s: 86_400,
             long_work_ms: 1000,
+            backend_idle_ms: 10_000,
+            drain_notice_ms: 1_500,
+            retry_percent: 10,
+            retry_floor: 3,
         }
     }
 }
--- a/crates/policy/src/routing/mod.rs
+++ b/crates/policy/src/routing/mod.rs
@@ -9,6 +9,7 @@
 mod server;
 mod settings;
 mod spill;
+mod weighted_split;
 
 #[cfg(test)]
 mod tests;
@@ -24,3 +25,4 @@
 pub use policy::RouteQuery;
 pub use round_robin_router::RoundRobinRouter;
 pub use settings::RoutingSettings;
+pub use weighted_split::WeightedSplit;
--- a/crates/tarragond/examples/backend/announcer.rs
+++ b/crates/tarragond/examples/backend/announcer.rs
@@ -27,6 +27,7 @@
             cold_start_ms: args.cold_start_ms,
             ttl_ms: TTL_MS,
             draining: false,
+            server: None,
         };
         Self { control: args.control, announcement, client: ControlClient::new(None, TTL_MS / 3) }
     }
--- a/crates/tarragond/src/cli/args.rs
+++ b/crates/tarragond/src/cli/args.rs
@@ -20,6 +20,8 @@
         /// Settings file in JSON.
         settings: PathBuf,
     },
+    /// Run the node on the users' platform, with the settings file that its environment names.
+    Platform,
     /// Check a settings file and list every mistake.
     Check {
         /// Settings file in JSON.
--- a/crates/tarragond/src/cli/run.rs
+++ b/crates/tarragond/src/cli/run.rs
@@ -2,9 +2,12 @@
 
 use error_stack::Report;
 use tarragon_node::app::run_node;
+use tarragon_node::app::Adapter;
 use tarragon_node::app::AppError;
 use tarragon_node::conf::load_settings;
 use tarragon_node::conf::SettingsError;
+use tarragon_platform::run_on_platform;
+use tarragon_platform::PlatformError;
 
 use crate::cli::Args;
 use crate::cli::Command;
@@ -18,6 +21,8 @@
     BadSettings(Report<SettingsError>),
     /// The node failed.
     Failed(Report<AppError>),
+    /// The node failed on the platform, or its settings are wrong there.
+    PlatformFailed(Report<PlatformError>),
 }
 
 impl CommandResult {
@@ -36,6 +41,13 @@
                 eprintln!("tarragond: {report:?}");
                 ExitCode::from(1)
             }
+            Self::PlatformFailed(report) => {
+                eprintln!("tarragond: {report:?}");
+                match report.current_context() {
+                    PlatformError::Node => ExitCode::from(1),
+                    _ => ExitCode::from(2),
+                }
+            }
         }
     }
 }
@@ -47,8 +59,12 @@
             Ok(_) => CommandResult::Done("settings are valid\n".into()),
             Err(report) => CommandResult::BadSettings(report),
         },
+        Command::Platform => match run_on_platform() {
+            Ok(()) => CommandResult::Done(String::new()),
+            Err(report) => CommandResult::PlatformFailed(report),
+        },
         Command::Run { settings } => match load_settings(settings) {
-            Ok(settings) => match run_node(settings) {
+            Ok(settings) => match run_node(settings, Adapter::default()) {
                 Ok(()) => CommandResult::Done(String::new()),
                 Err(report) => CommandResult::Failed(report),
             },
