--- a/crates/datapath/src/entry/caller_handler.rs
+++ b/crates/datapath/src/entry/caller_handler.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::time::Instant;
 
 use async_trait::async_trait;
 use http::request::Parts;
@@ -16,6 +17,7 @@
 use tarragon_policy::retry::CallerThrottle;
 use tokio::sync::watch;
 use tracing::debug;
+use tracing::info;
 
 use crate::datapath::Serving;
 use crate::entry::forwarder::EntrySpan;
@@ -26,6 +28,7 @@
 use crate::interface::Inbound;
 use crate::transport::streamed;
 use crate::transport::Body;
+use crate::transport::DecisionLog;
 use crate::transport::Failure;
 use crate::transport::Http1Handler;
 use crate::transport::ReplayBody;
@@ -33,12 +36,20 @@
 /// When a caller that came before the node was ready may come again, in ms.
 const NOT_READY_RETRY_MS: u64 = 500;
 
+/// Most log lines about answered requests, a second.
+const ANSWER_LINES_PER_S: u32 = 5;
+
+/// Most log lines about refused and failed requests, a second.
+const FAILURE_LINES_PER_S: u32 = 30;
+
 /// Answers callers.
 pub struct CallerHandler {
     forwarder: Arc<Forwarder>,
     throttle: Mutex<CallerThrottle>,
     interface: Arc<dyn CallerInterface>,
     serving: watch::Receiver<Serving>,
+    answers: DecisionLog,
+    failures: DecisionLog,
 }
 
 impl CallerHandler {
@@ -49,7 +60,15 @@
         interface: Arc<dyn CallerInterface>,
         serving: watch::Receiver<Serving>,
     ) -> Self {
-        Self { forwarder, throttle: Mutex::new(throttle), interface, serving }
+        let clock = forwarder.parts.clock;
+        Self {
+            forwarder,
+            throttle: Mutex::new(throttle),
+            interface,
+            serving,
+            answers: DecisionLog::new(clock, ANSWER_LINES_PER_S),
+            failures: DecisionLog::new(clock, FAILURE_LINES_PER_S),
+        }
     }
 
     fn throttle(&self) -> MutexGuard<'_, CallerThrottle> {
@@ -93,6 +112,7 @@
         body: Incoming,
         inbound: Inbound,
     ) -> Result<Response<Body>, Failure> {
+        let started = Instant::now();
         let settings = &self.forwarder.parts.settings;
         let request_id = self.forwarder.next_request_id();
         let tokens = inbound.max_attempts.map_or(settings.retry_tokens, |most| most - 1);
@@ -121,7 +141,40 @@
             label: inbound.label,
             ledger_span: span.id,
         };
-        self.forwarder.forward(&call).await
+        let result = self.forwarder.forward(&call).await;
+        self.log_end(&call, inbound.revision, started, &result);
+        result
+    }
+
+    /// Tells how a request ended and by what it was decided.
+    fn log_end(
+        &self,
+        call: &OutgoingCall,
+        revision: u64,
+        started: Instant,
+        result: &Result<Response<Body>, Failure>,
+    ) {
+        let log = if result.is_ok() { &self.answers } else { &self.failures };
+        let Some(unlogged) = log.admit() else { return };
+        let (outcome, reason, status, retry_after_ms) = match result {
+            Ok(response) => (Outcome::Answered, "", response.status(), 0),
+            Err(f) => (f.outcome(), f.reason.as_str(), f.status, f.retry_after_ms),
+        };
+        info!(
+            request = call.label,
+            id = %call.context.request_id,
+            service = call.service,
+            rank = call.context.importance,
+            revision,
+            allowed_ms = call.context.deadline_ms,
+            elapsed_ms = crate::datapath::micros(started.elapsed()) / 1_000,
+            status = status.as_u16(),
+            outcome = outcome.as_str(),
+            reason,
+            retry_after_ms,
+            unlogged,
+            "entry: request ended"
+        );
     }
 }
 
--- a/crates/datapath/src/entry/forwarder.rs
+++ b/crates/datapath/src/entry/forwarder.rs
@@ -22,6 +22,7 @@
 use tarragon_policy::routing::RouteQuery;
 use tokio::sync::watch;
 use tracing::debug;
+use tracing::info;
 
 use crate::claims::KeyClaims;
 use crate::datapath::Clock;
@@ -35,11 +36,15 @@
 use crate::peer::CallError;
 use crate::peer::Peers;
 use crate::transport::Body;
+use crate::transport::DecisionLog;
 use crate::transport::Failure;
 
 /// Most gates that are asked after others refused a request that reached no backend server.
 const MAX_REROUTES: u32 = 8;
 
+/// Most log lines about requests that are sent again, a second.
+const RETRY_LINES_PER_S: u32 = 20;
+
 /// What a forwarder is built from.
 pub struct ForwarderParts {
     /// Settings of the data path.
@@ -71,12 +76,14 @@
     pub(crate) parts: ForwarderParts,
     next_request: AtomicU64,
     next_attempt: AtomicU64,
+    retries: DecisionLog,
 }
 
 impl Forwarder {
     /// Creates a forwarder.
     pub fn new(parts: ForwarderParts) -> Self {
-        Self { parts, next_request: AtomicU64::new(1), next_attempt: AtomicU64::new(1) }
+        let retries = DecisionLog::new(parts.clock, RETRY_LINES_PER_S);
+        Self { parts, next_request: AtomicU64::new(1), next_attempt: AtomicU64::new(1), retries }
     }
 
     /// A request id that this node has not used.
@@ -144,7 +151,19 @@
             if is_spent || !may_go_on {
                 return Err(failure);
             }
-            debug!("route: {} is sent again after {}", call.context.request_id, failure.reason);
+            if let Some(unlogged) = self.retries.admit() {
+                info!(
+                    request = call.label,
+                    id = %call.context.request_id,
+                    service = call.service,
+                    target = %target,
+                    reason = failure.reason.as_str(),
+                    reached,
+                    reroutes,
+                    unlogged,
+                    "route: request is sent again"
+                );
+            }
             self.parts.metrics.count("route.retried", 1);
             // A fence answers over a new connection, so the gate itself is well.
             if failure.reason != Reason::Fenced {
--- a/crates/datapath/src/gate/gate_shell.rs
+++ b/crates/datapath/src/gate/gate_shell.rs
@@ -16,6 +16,7 @@
 use tarragon_model::call::CallContext;
 use tarragon_model::call::Reason;
 use tarragon_model::catalogue::Catalogue;
+use tarragon_model::identity::RequestId;
 use tarragon_model::identity::SpanId;
 use tarragon_model::member::BackendState;
 use tarragon_policy::admission::AdmissionPolicy;
@@ -29,6 +30,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tracing::debug;
+use tracing::info;
 
 use crate::backend::BackendStatus;
 use crate::datapath::Clock;
@@ -56,11 +58,15 @@
 use crate::transport::strip_hop_headers;
 use crate::transport::strip_tarragon_headers;
 use crate::transport::Body;
+use crate::transport::DecisionLog;
 use crate::transport::Failure;
 
 /// Tries on pooled connections that turn out to be closed before a byte was written.
 const MAX_STALE_CONNECTIONS: usize = 4;
 
+/// Most log lines about requests without an answer, a second.
+const FAILURE_LINES_PER_S: u32 = 30;
+
 /// What a gate is built from.
 pub struct GateParts {
     /// Settings of the data path.
@@ -100,6 +106,7 @@
     retry: Arc<Mutex<Box<dyn RetryPolicy>>>,
     catalogue: watch::Receiver<Arc<Catalogue>>,
     interface: Arc<dyn BackendInterface>,
+    failures: DecisionLog,
 }
 
 impl Gate {
@@ -128,6 +135,7 @@
             retry,
             catalogue,
             interface,
+            failures: DecisionLog::new(clock, FAILURE_LINES_PER_S),
         }
     }
 
@@ -144,17 +152,52 @@
         let ledger = LedgerSpan::open(self, id, call.tokens);
         let span = self.spans.open(id, parent);
         let request_id = call.context.request_id;
+        let service = call.service.clone();
+        let label = self.interface.tag(call.request.headers());
+        let started = Instant::now();
         let result = match call.context.key.clone() {
             Some(key) => self.run_keyed(key, call, span).await,
             None => self.run_plain(call, span).await,
         };
         if let Err(failure) = &result {
-            debug!("gate: {request_id} {}: {}", failure.outcome(), failure.reason);
+            self.log_failure(label.as_ref(), request_id, &service, started, failure);
             self.metrics.count(failure.reason.as_str(), 1);
         }
         GateAnswer { result, unused_tokens: ledger.close(), advice: Some(self.desk.advice()) }
     }
 
+    /// Tells why a request has no answer, and what this gate believed when it decided.
+    fn log_failure(
+        &self,
+        label: Option<&HeaderValue>,
+        request_id: RequestId,
+        service: &str,
+        started: Instant,
+        failure: &Failure,
+    ) {
+        let Some(unlogged) = self.failures.admit() else { return };
+        let (running, waiting) = self.desk.counts();
+        let advice = self.desk.advice();
+        let status = self.status.borrow();
+        info!(
+            request = label.and_then(|value| value.to_str().ok()).unwrap_or(""),
+            id = %request_id,
+            service,
+            server = status.server_id.as_deref().unwrap_or(""),
+            server_state = ?status.state,
+            running,
+            waiting,
+            limit = advice.limit,
+            cutoff_rank = advice.cutoff_rank,
+            elapsed_ms = crate::datapath::micros(started.elapsed()) / 1_000,
+            outcome = failure.outcome().as_str(),
+            reason = failure.reason.as_str(),
+            retry_after_ms = failure.retry_after_ms,
+            unlogged,
+            "gate: request has no answer"
+        );
+    }
+
     async fn run_plain(
         self: &Arc<Self>,
         call: GateCall,
--- a/crates/datapath/src/interface/routed_requests.rs
+++ b/crates/datapath/src/interface/routed_requests.rs
@@ -63,6 +63,7 @@
             default_deadline,
             key: None,
             max_attempts: Some(route.max_attempts),
+            revision: catalogue.revision(),
             max_body_bytes: configuration.limits.max_body_bytes,
         })
     }
--- a/crates/datapath/src/transport/mod.rs
+++ b/crates/datapath/src/transport/mod.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod body;
 mod bounded_log;
+mod decision_log;
 mod executor;
 mod failure;
 mod hop_headers;
@@ -17,6 +18,7 @@
 pub use body::Body;
 pub use body::BoxError;
 pub(crate) use bounded_log::BoundedLog;
+pub(crate) use decision_log::DecisionLog;
 pub use executor::TrackedExecutor;
 pub use failure::Failure;
 pub use hop_headers::header_bytes;
--- a/crates/node/src/app/node.rs
+++ b/crates/node/src/app/node.rs
@@ -86,7 +86,7 @@
 /// # Errors
 /// Names the step that failed.
 pub fn run_node(settings: Settings, adapter: Adapter) -> Result<(), Report<AppError>> {
-    start_logging(&settings.log)?;
+    let _log = start_logging(&settings.log)?;
     runtime()?.block_on(async {
         let signals = StopSignals::new();
         Node::build(settings, adapter).await?.run(signals).await
