Admit by announced slots and route by load where run times differ widely

The limit learnt from latency fell to 24 of 72 slots and refused work as late. Change: SlotAdmission and LoadRouter, chosen by the setting load_model; run times are learnt by kind of request, which travels between nodes. A gate that gets an unkeyed call for an earlier life of its node says that it did not run.

--- a/crates/datapath/src/entry/caller_handler.rs
+++ b/crates/datapath/src/entry/caller_handler.rs
@@ -138,6 +138,7 @@
             is_idempotent: inbound.is_idempotent,
             class: inbound.class,
             max_attempts: inbound.max_attempts,
+            kind: inbound.kind,
             label: inbound.label,
             ledger_span: span.id,
         };
--- a/crates/datapath/src/entry/entry_body.rs
+++ b/crates/datapath/src/entry/entry_body.rs
@@ -26,6 +26,7 @@
     target: InstanceId,
     started: Instant,
     latency_us: Option<u64>,
+    whole_end: CallEnd,
     end: CallEnd,
 }
 
@@ -47,12 +48,14 @@
             target,
             started: Instant::now(),
             latency_us: None,
+            whole_end: CallEnd::Answered,
             end: CallEnd::Cancelled,
         }
     }
 
-    /// Records that the head of the answer arrived.
-    pub(crate) fn first_byte(&mut self) {
+    /// Records that the head of the answer arrived, and what the answer means once it is whole.
+    pub(crate) fn first_byte(&mut self, whole_end: CallEnd) {
+        self.whole_end = whole_end;
         self.latency_us = Some(crate::datapath::micros(self.started.elapsed()));
     }
 
@@ -82,14 +85,21 @@
     pub(crate) fn new(body: Body, guard: RouteGuard) -> Self {
         let mut this = Self { body, guard: Some(guard) };
         if this.body.is_end_stream() {
-            this.end(CallEnd::Answered);
+            this.complete();
         }
         this
     }
 
-    fn end(&mut self, end: CallEnd) {
+    fn complete(&mut self) {
         if let Some(mut guard) = self.guard.take() {
-            guard.set_end(end);
+            let whole_end = guard.whole_end;
+            guard.set_end(whole_end);
+        }
+    }
+
+    fn fail(&mut self) {
+        if let Some(mut guard) = self.guard.take() {
+            guard.set_end(CallEnd::Failed);
         }
     }
 }
@@ -105,9 +115,9 @@
         let this = self.get_mut();
         let polled = Pin::new(&mut this.body).poll_frame(cx);
         match &polled {
-            Poll::Ready(Some(Err(_))) => this.end(CallEnd::Failed),
-            Poll::Ready(None) => this.end(CallEnd::Answered),
-            Poll::Ready(Some(Ok(_))) if this.body.is_end_stream() => this.end(CallEnd::Answered),
+            Poll::Ready(Some(Err(_))) => this.fail(),
+            Poll::Ready(None) => this.complete(),
+            Poll::Ready(Some(Ok(_))) if this.body.is_end_stream() => this.complete(),
             _ => {}
         }
         polled
--- a/crates/datapath/src/entry/exit_handler.rs
+++ b/crates/datapath/src/entry/exit_handler.rs
@@ -104,6 +104,7 @@
             is_idempotent: inbound.is_idempotent,
             class: inbound.class,
             max_attempts: inbound.max_attempts,
+            kind: inbound.kind,
             label: inbound.label,
             ledger_span: ledger_span.expect("a call has its own span or that of its parent"),
         };
--- a/crates/datapath/src/entry/forwarder.rs
+++ b/crates/datapath/src/entry/forwarder.rs
@@ -314,12 +314,16 @@
         self.retry().give_back(call.ledger_span, unused_tokens.min(tokens));
         match result {
             Ok(response) => {
-                guard.first_byte();
+                let is_error = response.status().is_server_error();
+                guard.first_byte(if is_error { CallEnd::Errored } else { CallEnd::Answered });
                 Ok(response.map(|body| EntryBody::new(body, guard).boxed_unsync()))
             }
             Err(failure) => {
-                let is_not_run = failure.is_not_run();
-                guard.set_end(if is_not_run { CallEnd::NotRun } else { CallEnd::Failed });
+                guard.set_end(match failure.reason {
+                    Reason::Rejected => CallEnd::Rejected,
+                    _ if failure.is_not_run() => CallEnd::NotRun,
+                    _ => CallEnd::Failed,
+                });
                 Err(FailedAttempt { failure, is_from_gate: true })
             }
         }
--- a/crates/datapath/src/entry/outgoing_call.rs
+++ b/crates/datapath/src/entry/outgoing_call.rs
@@ -22,6 +22,8 @@
     pub(crate) class: WorkClass,
     /// Most backend servers that it may reach; none if only the retry tokens bound them.
     pub(crate) max_attempts: Option<u32>,
+    /// Kind of request, by which gates learn run times.
+    pub(crate) kind: u32,
     /// Identifier that the caller gave it, for logs.
     pub(crate) label: String,
     /// Holder of the retry tokens at this node.
@@ -35,6 +37,7 @@
             service: self.service.clone(),
             request: Request::from_parts(self.head.clone(), self.body.attempt()),
             context: self.context.clone(),
+            kind: self.kind,
             attempt,
             tokens,
             deadline: self.deadline,
--- a/crates/datapath/src/gate/gate_call.rs
+++ b/crates/datapath/src/gate/gate_call.rs
@@ -16,6 +16,8 @@
     pub request: Request<Body>,
     /// Its context; the deadline there is the time left when the call was made.
     pub context: CallContext,
+    /// Kind of request, by which run times are learnt; 0 if it is not known.
+    pub kind: u32,
     /// Number of the attempt at the calling node.
     pub attempt: u64,
     /// Retry tokens lent with the call.
--- a/crates/datapath/src/gate/gate_shell.rs
+++ b/crates/datapath/src/gate/gate_shell.rs
@@ -235,6 +235,7 @@
         Ok(Offer {
             request_id: call.context.request_id,
             rank: call.context.importance,
+            kind: call.kind,
             class: if is_long { WorkClass::Long } else { WorkClass::Short },
             expected_us: expected_ms.saturating_mul(1_000),
             deadline_left_us,
--- a/crates/datapath/src/interface/inbound.rs
+++ b/crates/datapath/src/interface/inbound.rs
@@ -27,6 +27,8 @@
     /// Most backend servers that the request may be sent to; none if only the retry tokens bound
     /// them.
     pub max_attempts: Option<u32>,
+    /// Kind of request, by which gates learn run times; 0 if they know it by themselves.
+    pub kind: u32,
     /// Revision of the catalogue that decided.
     pub revision: u64,
     /// Largest body, in bytes.
--- a/crates/datapath/src/interface/own_caller_interface.rs
+++ b/crates/datapath/src/interface/own_caller_interface.rs
@@ -63,6 +63,7 @@
             default_deadline: now + Duration::from_millis(spec.default_deadline_ms.min(limit_ms)),
             key: if is_idempotent { None } else { key(&parts.headers)? },
             max_attempts: None,
+            kind: 0,
             revision: catalogue.revision(),
             max_body_bytes: u64::MAX,
             service,
--- a/crates/datapath/src/interface/routed_requests.rs
+++ b/crates/datapath/src/interface/routed_requests.rs
@@ -27,6 +27,13 @@
     pub deadline_ms: Option<u64>,
 }
 
+/// Number by which all nodes know a route. Routes that share one by chance are learnt together.
+fn kind_of(route: &Route) -> u32 {
+    let hash = blake3::hash(route.name.as_bytes());
+    let [a, b, c, d, ..] = *hash.as_bytes();
+    u32::from_le_bytes([a, b, c, d])
+}
+
 /// Finds the route of requests and what follows from it.
 #[derive(Debug, Default)]
 pub struct RoutedRequests {
@@ -63,6 +70,7 @@
             default_deadline,
             key: None,
             max_attempts: Some(route.max_attempts),
+            kind: kind_of(route),
             revision: catalogue.revision(),
             max_body_bytes: configuration.limits.max_body_bytes,
         })
--- a/crates/datapath/src/peer/auth.rs
+++ b/crates/datapath/src/peer/auth.rs
@@ -7,7 +7,8 @@
 use tarragon_wire::DeploymentKey;
 
 /// Headers that the hash covers, besides method and path.
-const COVERED: [HeaderName; 10] = [
+const COVERED: [HeaderName; 11] = [
+    headers::KIND,
     headers::SERVICE,
     headers::REQUEST_ID,
     headers::SPAN,
--- a/crates/datapath/src/peer/peer_server.rs
+++ b/crates/datapath/src/peer/peer_server.rs
@@ -213,7 +213,11 @@
         let tokens = parsed(map, headers::RETRY_TOKENS).unwrap_or(0);
         if !self.is_addressed(map) {
             self.gate.metrics.count("gate.wrong_instance", 1);
-            return Err((Reason::WrongInstance.into(), tokens));
+            // An earlier life of this node may have run a keyed request. Of any other one this is
+            // the only copy, and it does not run here.
+            let is_keyed = map.contains_key(headers::IDEMPOTENCY_KEY);
+            let reason = if is_keyed { Reason::WrongInstance } else { Reason::NoServer };
+            return Err((reason.into(), tokens));
         }
         let context = CallContext::from_headers(map);
         let service = map.get(headers::SERVICE).and_then(|value| value.to_str().ok());
@@ -222,6 +226,7 @@
             return Err((Reason::BadRequest.into(), tokens));
         };
         let service = service.to_string();
+        let kind = parsed(map, headers::KIND).unwrap_or(0);
         strip_hop_headers(map);
         strip_tarragon_headers(map);
         let path = parts.uri.path_and_query().cloned();
@@ -229,7 +234,7 @@
         let limit_ms = self.gate.settings.max_deadline_ms;
         let deadline = arrived + Duration::from_millis(context.deadline_ms.min(limit_ms));
         let request = Request::from_parts(parts, streamed(body));
-        Ok(GateCall { service, request, context, attempt, tokens, deadline })
+        Ok(GateCall { service, request, context, kind, attempt, tokens, deadline })
     }
 }
 
--- a/crates/datapath/src/peer/peers.rs
+++ b/crates/datapath/src/peer/peers.rs
@@ -256,7 +256,7 @@
     }
 
     fn peer_request(&self, call: GateCall, peer: &Peer) -> Request<Body> {
-        let GateCall { service, request, context, attempt, tokens, deadline } = call;
+        let GateCall { service, request, context, kind, attempt, tokens, deadline } = call;
         let (mut parts, body) = request.into_parts();
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_string();
         let left_ms = crate::datapath::left_us(deadline) / 1_000;
@@ -265,6 +265,7 @@
         CallContext { deadline_ms, ..context }.write_headers(map);
         map.insert(headers::SERVICE, visible(&service));
         map.insert(headers::TARGET, visible(&peer.instance.to_string()));
+        map.insert(headers::KIND, kind.into());
         map.insert(headers::ATTEMPT, attempt.into());
         map.insert(headers::RETRY_TOKENS, tokens.into());
         self.shared.auth.sign(&parts.method, &path, map);
--- a/crates/datapath/src/transport/hop_headers.rs
+++ b/crates/datapath/src/transport/hop_headers.rs
@@ -17,7 +17,8 @@
 ];
 
 /// Headers that only nodes may set.
-const TARRAGON_HEADERS: [HeaderName; 12] = [
+const TARRAGON_HEADERS: [HeaderName; 13] = [
+    headers::KIND,
     headers::SERVICE,
     headers::REQUEST_ID,
     headers::SPAN,
--- a/crates/model/src/call/headers.rs
+++ b/crates/model/src/call/headers.rs
@@ -20,6 +20,8 @@
 pub const TARGET: HeaderName = HeaderName::from_static("tarragon-target");
 /// Number of the attempt; between nodes only.
 pub const ATTEMPT: HeaderName = HeaderName::from_static("tarragon-attempt");
+/// Kind of request, by which run times are learnt; between nodes only.
+pub const KIND: HeaderName = HeaderName::from_static("tarragon-kind");
 /// Retry tokens lent with a call or returned with its answer; between nodes only.
 pub const RETRY_TOKENS: HeaderName = HeaderName::from_static("tarragon-retry-tokens");
 /// Keyed hash over the context; between nodes only.
--- a/crates/node/src/app/policies.rs
+++ b/crates/node/src/app/policies.rs
@@ -1,7 +1,10 @@
 use tarragon_datapath::datapath::Policies;
 use tarragon_model::identity::InstanceId;
 use tarragon_policy::admission::AdaptiveAdmission;
+use tarragon_policy::admission::AdmissionPolicy;
 use tarragon_policy::admission::AdmissionSettings;
+use tarragon_policy::admission::SlotAdmission;
+use tarragon_policy::admission::SlotSettings;
 use tarragon_policy::once::KeyTable;
 use tarragon_policy::once::OnceSettings;
 use tarragon_policy::retry::CallerThrottle;
@@ -9,8 +12,12 @@
 use tarragon_policy::retry::ThrottleSettings;
 use tarragon_policy::retry::TokenLedger;
 use tarragon_policy::routing::AdaptiveRouter;
+use tarragon_policy::routing::LoadRouter;
+use tarragon_policy::routing::LoadSettings;
+use tarragon_policy::routing::RoutePolicy;
 use tarragon_policy::routing::RoutingSettings;
 
+use crate::conf::LoadModel;
 use crate::conf::Settings;
 
 /// Builds the decisions of a node from its settings.
@@ -23,9 +30,20 @@
         ..RetrySettings::default()
     };
     let once = OnceSettings { key_retention_s: limits.key_retention_s, ..OnceSettings::default() };
+    let (admission, route): (Box<dyn AdmissionPolicy>, Box<dyn RoutePolicy>) =
+        match limits.load_model {
+            LoadModel::Learnt => (
+                Box::new(AdaptiveAdmission::new(&AdmissionSettings::default())),
+                Box::new(AdaptiveRouter::new(RoutingSettings::default(), instance.0)),
+            ),
+            LoadModel::Slots => (
+                Box::new(SlotAdmission::new(SlotSettings::default())),
+                Box::new(LoadRouter::new(LoadSettings::default(), instance.0)),
+            ),
+        };
     Policies {
-        admission: Box::new(AdaptiveAdmission::new(&AdmissionSettings::default())),
-        route: Box::new(AdaptiveRouter::new(RoutingSettings::default(), instance.0)),
+        admission,
+        route,
         retry: Box::new(TokenLedger::new(retry)),
         once: Box::new(KeyTable::new(instance, once)),
         throttle: CallerThrottle::new(ThrottleSettings::default()),
--- a/crates/node/src/conf/mod.rs
+++ b/crates/node/src/conf/mod.rs
@@ -11,6 +11,7 @@
 pub use settings::Formation;
 pub use settings::Limits;
 pub use settings::Listen;
+pub use settings::LoadModel;
 pub use settings::LogFormat;
 pub use settings::LogSettings;
 pub use settings::Settings;
--- a/crates/node/src/conf/settings.rs
+++ b/crates/node/src/conf/settings.rs
@@ -128,6 +128,17 @@
     }
 }
 
+/// How the load of backend servers is judged.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum LoadModel {
+    /// By latency, for servers that tell little of themselves.
+    #[default]
+    Learnt,
+    /// By the slots that servers announce, for requests whose run times differ widely.
+    Slots,
+}
+
 /// Limits of the data path.
 #[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -151,6 +162,8 @@
     /// Time for which callers and other nodes are served after a stop was asked for, so that they
     /// learn of it, in ms.
     pub drain_notice_ms: u64,
+    /// How the load of backend servers is judged.
+    pub load_model: LoadModel,
     /// Retries that the nodes make for a service, in percent of its requests.
     pub retry_percent: u32,
     /// Retries that this node makes for a service in each window of 10 s, however few its requests.
@@ -169,6 +182,7 @@
             long_work_ms: 1000,
             backend_idle_ms: 10_000,
             drain_notice_ms: 1_500,
+            load_model: LoadModel::Learnt,
             retry_percent: 10,
             retry_floor: 3,
         }
--- a/crates/policy/examples/measure_admission/simulation.rs
+++ b/crates/policy/examples/measure_admission/simulation.rs
@@ -209,6 +209,7 @@
         self.counter += 1;
         let deadline_left_us = left_us.min(operation.attempt_us);
         let offer = Offer {
+            kind: 0,
             request_id: RequestId { instance: InstanceId(1), counter: self.counter },
             rank: operation.rank,
             class: operation.class,
--- a/crates/policy/examples/measure_chain/world.rs
+++ b/crates/policy/examples/measure_chain/world.rs
@@ -232,6 +232,7 @@
         let (node, deadline_us, lent) = (call.target, call.origin.deadline_us, call.lent);
         let span = SpanId(id);
         let offer = Offer {
+            kind: 0,
             request_id: call.origin.request_id,
             rank: OPERATIONS[call.origin.caller.operation].rank,
             class: WorkClass::Short,
--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -13,6 +13,7 @@
 mod run_times;
 mod settings;
 mod shed_cutoff;
+mod slot_admission;
 mod wait_queue;
 
 pub use adaptive::AdaptiveAdmission;
@@ -30,3 +31,5 @@
 pub use policy::Verdict;
 pub use policy::WorkClass;
 pub use settings::AdmissionSettings;
+pub use slot_admission::SlotAdmission;
+pub use slot_admission::SlotSettings;
--- a/crates/policy/src/admission/policy.rs
+++ b/crates/policy/src/admission/policy.rs
@@ -23,6 +23,8 @@
     pub request_id: RequestId,
     /// Importance rank, 0 is the most important.
     pub rank: u8,
+    /// Kind of request, by which run times are learnt; 0 if it is not known.
+    pub kind: u32,
     /// Class by expected run time.
     pub class: WorkClass,
     /// Expected run time, in µs.
--- /dev/null
+++ b/crates/policy/src/admission/slot_admission.rs
@@ -0,0 +1,250 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use tarragon_model::call::Reason;
+
+use crate::admission::AdmissionAdvice;
+use crate::admission::AdmissionPolicy;
+use crate::admission::Offer;
+use crate::admission::Refusal;
+use crate::admission::Release;
+use crate::admission::RunEnd;
+use crate::admission::RunResult;
+use crate::admission::Ticket;
+use crate::admission::Verdict;
+
+/// Settings of [`SlotAdmission`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SlotSettings {
+    /// Share of the announced slots that is used. Servers slow down when the last ones are taken.
+    pub used_share: f64,
+    /// Slots assumed until the backend server announces its own.
+    pub default_slots: u32,
+    /// Most requests that wait.
+    pub max_queue: usize,
+    /// Run time assumed for a kind of request that has not run yet, in µs.
+    pub default_run_us: u64,
+    /// Share of the mean run time that must be left when a request starts. Run times vary, so many
+    /// end within less than the mean.
+    pub min_run_share: f64,
+    /// Predicted wait from which calling nodes are advised to ask other gates, in µs.
+    pub advised_wait_us: u64,
+}
+
+impl Default for SlotSettings {
+    fn default() -> Self {
+        Self {
+            used_share: 0.95,
+            default_slots: 16,
+            max_queue: 1_024,
+            default_run_us: 100_000,
+            min_run_share: 0.5,
+            advised_wait_us: 1_500_000,
+        }
+    }
+}
+
+/// Weight of the newest run in the mean run time of its kind.
+const RUN_WEIGHT: f64 = 1.0 / 32.0;
+
+/// Most kinds of requests with a mean of their own; beyond it all are learnt anew.
+const MAX_KINDS: usize = 4_096;
+
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    kind: u32,
+    work_us: u64,
+    latest_start_us: u64,
+}
+
+/// Admission for a backend server whose announced slots can be relied on.
+///
+/// The load that it answers: one server runs requests whose run times differ a hundredfold, such as
+/// lookups of some ms that other services wait for and long searches of callers. Latency then says
+/// nothing about queueing, and a limit learnt from it falls far below the slots. Here the slots
+/// are the limit. Requests wait at the gate by rank, because the server's own queue knows no ranks,
+/// and a request whose wait would leave too little time to run is refused on arrival, with the
+/// predicted wait as the time to come back.
+#[derive(Debug)]
+pub struct SlotAdmission {
+    settings: SlotSettings,
+    slots: u32,
+    running: HashMap<Ticket, u32>,
+    queue: BTreeMap<(u8, Ticket), Waiting>,
+    by_latest_start: BTreeSet<(u64, u8, Ticket)>,
+    /// Expected run time of the waiting requests of each rank, in µs.
+    queued_us: BTreeMap<u8, u64>,
+    /// Mean run times by kind, in µs.
+    mean_run_us: HashMap<u32, f64>,
+    /// Mean over all runs, in µs.
+    overall_run_us: f64,
+    refused: Vec<Release>,
+    is_draining: bool,
+    last_ticket: u64,
+}
+
+impl SlotAdmission {
+    /// Creates a gate that assumes the default slots until the backend server announces its own.
+    pub fn new(settings: SlotSettings) -> Self {
+        Self {
+            slots: settings.default_slots,
+            running: HashMap::new(),
+            queue: BTreeMap::new(),
+            by_latest_start: BTreeSet::new(),
+            queued_us: BTreeMap::new(),
+            mean_run_us: HashMap::new(),
+            overall_run_us: settings.default_run_us as f64,
+            refused: Vec::new(),
+            is_draining: false,
+            last_ticket: 0,
+            settings,
+        }
+    }
+
+    fn limit(&self) -> u32 {
+        ((f64::from(self.slots) * self.settings.used_share) as u32).max(1)
+    }
+
+    fn expected_us(&self, kind: u32) -> u64 {
+        self.mean_run_us.get(&kind).map_or(self.settings.default_run_us, |mean| *mean as u64)
+    }
+
+    fn has_slot(&self) -> bool {
+        (self.running.len() as u32) < self.limit()
+    }
+
+    /// Predicted time until a request of a rank that arrives now would start, in µs.
+    fn wait_us(&self, rank: u8) -> u64 {
+        if self.has_slot() && self.queue.is_empty() {
+            return 0;
+        }
+        let ahead_us: u64 = self.queued_us.range(..=rank).map(|(_, work_us)| work_us).sum();
+        (ahead_us + self.overall_run_us as u64) / u64::from(self.limit())
+    }
+
+    fn refusal(&self, reason: Reason, rank: u8) -> Refusal {
+        Refusal { reason, retry_after_ms: self.wait_us(rank).div_ceil(1_000).max(1) }
+    }
+
+    fn remove(&mut self, rank: u8, ticket: Ticket) -> Option<Waiting> {
+        let waiting = self.queue.remove(&(rank, ticket))?;
+        self.by_latest_start.remove(&(waiting.latest_start_us, rank, ticket));
+        if let Some(queued_us) = self.queued_us.get_mut(&rank) {
+            *queued_us = queued_us.saturating_sub(waiting.work_us);
+        }
+        Some(waiting)
+    }
+
+    fn learn(&mut self, kind: u32, run_us: u64) {
+        if self.mean_run_us.len() >= MAX_KINDS && !self.mean_run_us.contains_key(&kind) {
+            self.mean_run_us.clear();
+        }
+        let run_us = run_us as f64;
+        let mean = self.mean_run_us.entry(kind).or_insert(run_us);
+        *mean += (run_us - *mean) * RUN_WEIGHT;
+        self.overall_run_us += (run_us - self.overall_run_us) * RUN_WEIGHT;
+    }
+}
+
+impl AdmissionPolicy for SlotAdmission {
+    fn offer(&mut self, offer: &Offer, now_us: u64) -> Verdict {
+        let Offer { rank, kind, deadline_left_us, .. } = *offer;
+        if self.is_draining {
+            return Verdict::Refuse(Refusal { reason: Reason::Draining, retry_after_ms: 0 });
+        }
+        if deadline_left_us == 0 {
+            return Verdict::Refuse(self.refusal(Reason::Late, rank));
+        }
+        self.last_ticket += 1;
+        let ticket = Ticket(self.last_ticket);
+        if self.queue.is_empty() && self.has_slot() {
+            self.running.insert(ticket, kind);
+            return Verdict::Run(ticket);
+        }
+        let work_us = self.expected_us(kind);
+        let needed_us = (work_us as f64 * self.settings.min_run_share) as u64;
+        let is_hopeless = self.wait_us(rank) + needed_us > deadline_left_us;
+        if is_hopeless || self.queue.len() >= self.settings.max_queue {
+            return Verdict::Refuse(self.refusal(Reason::Shed, rank));
+        }
+        let latest_start_us = now_us + (deadline_left_us - needed_us);
+        self.queue.insert((rank, ticket), Waiting { kind, work_us, latest_start_us });
+        self.by_latest_start.insert((latest_start_us, rank, ticket));
+        *self.queued_us.entry(rank).or_default() += work_us;
+        Verdict::Wait(ticket)
+    }
+
+    fn finish(&mut self, ticket: Ticket, result: &RunResult, _now_us: u64) {
+        let Some(kind) = self.running.remove(&ticket) else { return };
+        // A run that was cut short tells only that it would have lasted longer.
+        let is_longer = result.run_us > self.expected_us(kind);
+        match result.end {
+            RunEnd::Answered => self.learn(kind, result.run_us),
+            RunEnd::Failed | RunEnd::Cancelled if is_longer => self.learn(kind, result.run_us),
+            RunEnd::Failed | RunEnd::Cancelled | RunEnd::Rejected => {}
+        }
+    }
+
+    fn poll(&mut self, now_us: u64) -> Vec<Release> {
+        let mut releases = std::mem::take(&mut self.refused);
+        while let Some((latest_start_us, rank, ticket)) = self.by_latest_start.first().copied() {
+            if latest_start_us >= now_us {
+                break;
+            }
+            self.remove(rank, ticket);
+            releases.push(Release::Refuse(ticket, self.refusal(Reason::Late, rank)));
+        }
+        while self.has_slot() {
+            let Some((&(rank, ticket), _)) = self.queue.first_key_value() else { break };
+            let Some(waiting) = self.remove(rank, ticket) else { break };
+            self.running.insert(ticket, waiting.kind);
+            releases.push(Release::Run(ticket));
+        }
+        releases
+    }
+
+    fn next_poll_us(&self) -> Option<u64> {
+        if !self.refused.is_empty() {
+            return Some(0);
+        }
+        self.by_latest_start.first().map(|(latest_start_us, ..)| latest_start_us + 1)
+    }
+
+    fn withdraw(&mut self, ticket: Ticket, _now_us: u64) {
+        let rank = self.queue.keys().find(|(_, waiting)| *waiting == ticket).map(|(rank, _)| *rank);
+        if let Some(rank) = rank {
+            self.remove(rank, ticket);
+        }
+    }
+
+    fn advice(&self, _now_us: u64) -> AdmissionAdvice {
+        let in_flight = (self.running.len() + self.queue.len()) as u32;
+        let advice =
+            AdmissionAdvice { in_flight, limit: self.limit(), ..AdmissionAdvice::default() };
+        let mut ranks = self.queued_us.iter().filter(|(_, work_us)| **work_us > 0);
+        let full = ranks.find(|(rank, _)| self.wait_us(**rank) > self.settings.advised_wait_us);
+        match full {
+            Some((rank, _)) => AdmissionAdvice { cutoff_rank: *rank, cutoff_hash: 0, ..advice },
+            None => advice,
+        }
+    }
+
+    fn set_drain(&mut self, is_draining: bool, _now_us: u64) {
+        if is_draining {
+            let refusal = Refusal { reason: Reason::Draining, retry_after_ms: 0 };
+            let tickets = self.queue.keys().map(|(_, ticket)| Release::Refuse(*ticket, refusal));
+            self.refused.extend(tickets);
+            self.queue.clear();
+            self.by_latest_start.clear();
+            self.queued_us.clear();
+        }
+        self.is_draining = is_draining;
+    }
+
+    fn set_slots(&mut self, slots: u32, _now_us: u64) {
+        if slots > 0 {
+            self.slots = slots;
+        }
+    }
+}
--- a/crates/policy/src/routing/mod.rs
+++ b/crates/policy/src/routing/mod.rs
@@ -3,6 +3,7 @@
 mod adaptive_router;
 mod decaying_advice;
 mod latency_estimate;
+mod load_router;
 mod policy;
 mod pool;
 mod round_robin_router;
@@ -15,6 +16,8 @@
 mod tests;
 
 pub use adaptive_router::AdaptiveRouter;
+pub use load_router::LoadRouter;
+pub use load_router::LoadSettings;
 pub use policy::CallEnd;
 pub use policy::CallResult;
 pub use policy::Candidate;
--- a/crates/policy/src/routing/policy.rs
+++ b/crates/policy/src/routing/policy.rs
@@ -72,6 +72,10 @@
 pub enum CallEnd {
     /// A whole answer came back.
     Answered,
+    /// A whole answer came back that tells of a failure of the server.
+    Errored,
+    /// The backend server refused the request.
+    Rejected,
     /// The gate refused the request.
     NotRun,
     /// The connection failed, or the answer was malformed or came too late.
--- a/crates/policy/src/routing/server.rs
+++ b/crates/policy/src/routing/server.rs
@@ -121,7 +121,7 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         let is_longer = self.latency.value_us().is_some_and(|us| result.latency_us as f64 > us);
         match result.end {
-            CallEnd::Answered => {
+            CallEnd::Answered | CallEnd::Errored => {
                 self.silent_since_us = now_us;
                 self.answered(result.latency_us, settings, now_us);
                 self.failures = 0;
@@ -131,7 +131,7 @@
                     self.start_ramp(settings.recovery_ramp_ms, now_us);
                 }
             }
-            CallEnd::NotRun => {
+            CallEnd::NotRun | CallEnd::Rejected => {
                 // A quick refusal says nothing about the latency of work. A gate that sheds says
                 // so in its advice; any other refusal repeats until membership catches up.
                 self.silent_since_us = now_us;
--- a/crates/policy/tests/admission/bench.rs
+++ b/crates/policy/tests/admission/bench.rs
@@ -30,7 +30,14 @@
 
 pub fn short(counter: u64, rank: u8, deadline_left_us: u64) -> Offer {
     let request_id = RequestId { instance: InstanceId(7), counter };
-    Offer { request_id, rank, class: WorkClass::Short, expected_us: 10 * MS, deadline_left_us }
+    Offer {
+        request_id,
+        rank,
+        kind: 0,
+        class: WorkClass::Short,
+        expected_us: 10 * MS,
+        deadline_left_us,
+    }
 }
 
 pub fn long(counter: u64, rank: u8, deadline_left_us: u64) -> Offer {
