--- a/crates/policy/src/admission/slot_admission.rs
+++ b/crates/policy/src/admission/slot_admission.rs
@@ -248,3 +248,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/policy/src/admission/slot_admission/tests.rs
@@ -0,0 +1,217 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use tarragon_model::call::Reason;
+use tarragon_model::identity::InstanceId;
+use tarragon_model::identity::RequestId;
+use tarragon_testkit::check;
+
+use super::SlotAdmission;
+use super::SlotSettings;
+use crate::admission::AdaptiveAdmission;
+use crate::admission::AdmissionPolicy;
+use crate::admission::AdmissionSettings;
+use crate::admission::Offer;
+use crate::admission::Release;
+use crate::admission::RunEnd;
+use crate::admission::RunResult;
+use crate::admission::Ticket;
+use crate::admission::Verdict;
+use crate::admission::WorkClass;
+
+const MS: u64 = 1_000;
+const SECOND: u64 = 1_000 * MS;
+
+fn offer(counter: u64, rank: u8, kind: u32, deadline_left_us: u64) -> Offer {
+    Offer {
+        request_id: RequestId { instance: InstanceId(1), counter },
+        rank,
+        kind,
+        class: WorkClass::Short,
+        expected_us: 0,
+        deadline_left_us,
+    }
+}
+
+fn answered(run_us: u64) -> RunResult {
+    RunResult { run_us, first_byte_us: run_us, end: RunEnd::Answered }
+}
+
+fn gate(slots: u32) -> SlotAdmission {
+    let mut gate = SlotAdmission::new(SlotSettings { used_share: 1.0, ..SlotSettings::default() });
+    gate.set_slots(slots, 0);
+    gate
+}
+
+#[test]
+fn requests_run_up_to_the_slots_and_then_wait_by_rank() {
+    let mut gate = gate(1);
+    let Verdict::Run(first) = gate.offer(&offer(1, 2, 1, SECOND), 0) else { panic!("not run") };
+    let Verdict::Wait(low) = gate.offer(&offer(2, 2, 1, SECOND), 0) else { panic!("no wait") };
+    let Verdict::Wait(high) = gate.offer(&offer(3, 0, 1, SECOND), 0) else { panic!("no wait") };
+    gate.finish(first, &answered(MS), MS);
+    assert_eq!(gate.poll(MS), [Release::Run(high)]);
+    gate.finish(high, &answered(MS), 2 * MS);
+    assert_eq!(gate.poll(2 * MS), [Release::Run(low)]);
+}
+
+#[test]
+fn a_request_that_cannot_start_in_time_is_told_when_to_come_back() {
+    let mut gate = gate(1);
+    for counter in 0..20 {
+        gate.offer(&offer(counter, 1, 1, 10 * SECOND), 0);
+    }
+    let Verdict::Refuse(refusal) = gate.offer(&offer(30, 1, 1, 300 * MS), 0) else {
+        panic!("not refused")
+    };
+    assert_eq!(refusal.reason, Reason::Shed);
+    // 19 waiting requests of 100 ms each, and the one that runs.
+    assert_eq!(refusal.retry_after_ms, 2_000);
+}
+
+#[test]
+fn a_waiting_request_is_refused_once_it_is_too_late() {
+    let mut gate = gate(1);
+    gate.offer(&offer(1, 1, 1, SECOND), 0);
+    let Verdict::Wait(late) = gate.offer(&offer(2, 1, 1, 400 * MS), 0) else { panic!("no wait") };
+    let due_us = gate.next_poll_us().expect("the waiting request expires");
+    assert!(due_us <= 400 * MS);
+    let releases = gate.poll(due_us);
+    assert!(matches!(releases[..], [Release::Refuse(ticket, _)] if ticket == late));
+}
+
+#[test]
+fn a_drain_refuses_what_waits_and_lets_runs_end() {
+    let mut gate = gate(1);
+    let Verdict::Run(running) = gate.offer(&offer(1, 1, 1, SECOND), 0) else { panic!("not run") };
+    let Verdict::Wait(waiting) = gate.offer(&offer(2, 1, 1, SECOND), 0) else { panic!("no wait") };
+    gate.set_drain(true, 0);
+    let releases = gate.poll(0);
+    assert!(matches!(releases[..], [Release::Refuse(ticket, r)]
+        if ticket == waiting && r.reason == Reason::Draining));
+    assert!(matches!(gate.offer(&offer(3, 1, 1, SECOND), 0), Verdict::Refuse(_)));
+    gate.finish(running, &answered(MS), MS);
+    assert!(gate.poll(MS).is_empty());
+}
+
+/// Guards the bookkeeping: never more runs than the limit, every offered request ends exactly once,
+/// and a free slot never meets a waiting request after a poll.
+#[test]
+fn every_request_ends_once_and_slots_are_not_wasted() {
+    fn property(steps: Vec<(u8, u8, u16)>) -> bool {
+        let mut gate = gate(3);
+        let mut running: BTreeSet<Ticket> = BTreeSet::new();
+        let mut waiting: BTreeSet<Ticket> = BTreeSet::new();
+        for (at, (action, rank, left_ms)) in steps.into_iter().enumerate() {
+            let now_us = at as u64 * 20 * MS;
+            match action % 4 {
+                0 | 1 => {
+                    let left_us = u64::from(left_ms % 600) * MS;
+                    let offered = offer(at as u64, rank % 3, u32::from(rank % 5), left_us);
+                    match gate.offer(&offered, now_us) {
+                        Verdict::Run(ticket) => drop(running.insert(ticket)),
+                        Verdict::Wait(ticket) => drop(waiting.insert(ticket)),
+                        Verdict::Refuse(_) => {}
+                    }
+                }
+                2 => {
+                    if let Some(ticket) = running.pop_first() {
+                        gate.finish(ticket, &answered(u64::from(left_ms) * MS), now_us);
+                    }
+                }
+                _ => {
+                    if let Some(ticket) = waiting.pop_last() {
+                        gate.withdraw(ticket, now_us);
+                    }
+                }
+            }
+            for release in gate.poll(now_us) {
+                let (Release::Run(ticket) | Release::Refuse(ticket, _)) = release;
+                if !waiting.remove(&ticket) {
+                    return false;
+                }
+                if matches!(release, Release::Run(_)) {
+                    running.insert(ticket);
+                }
+            }
+            if running.len() > 3 || (running.len() < 3 && !waiting.is_empty()) {
+                return false;
+            }
+        }
+        true
+    }
+    check(61, 300, property as fn(Vec<(u8, u8, u16)>) -> bool);
+}
+
+/// Requests in time of one kind, and all of them.
+type Served = BTreeMap<u32, (u32, u32)>;
+
+/// Plays a load on one server of 54 slots: many calls of 55 ms with 700 ms to answer, and lookups
+/// of 750 ms with 5 s, together a little below what the server can do. Run times vary fourfold.
+fn play(gate: &mut dyn AdmissionPolicy) -> Served {
+    const SLOTS: u32 = 54;
+    const CALL: u32 = 1;
+    const LOOKUP: u32 = 2;
+    let mut rng = Pcg32::seed_from_u64(5);
+    let mut served = Served::new();
+    let mut ends: BTreeSet<(u64, Ticket)> = BTreeSet::new();
+    let mut known: BTreeMap<Ticket, (u32, u64, u64)> = BTreeMap::new();
+    gate.set_slots(SLOTS, 0);
+    for now_us in (0..24 * SECOND).step_by(MS as usize) {
+        while let Some((end_us, ticket)) = ends.first().copied().filter(|(at, _)| *at <= now_us) {
+            ends.pop_first();
+            let (kind, run_us, deadline_us) = known[&ticket];
+            gate.finish(ticket, &answered(run_us), now_us);
+            served.entry(kind).or_default().0 += u32::from(end_us <= deadline_us);
+        }
+        let arrivals =
+            [(CALL, 0.55, 1, 55 * MS, 700 * MS), (LOOKUP, 0.022, 2, 750 * MS, 5 * SECOND)];
+        // What arrives at the end has the time to be served.
+        let is_over = now_us >= 18 * SECOND;
+        for (kind, chance, rank, mean_us, left_us) in arrivals {
+            if is_over || rng.random::<f64>() >= chance {
+                continue;
+            }
+            served.entry(kind).or_default().1 += 1;
+            let run_us = (mean_us as f64 * (0.4 + 1.2 * rng.random::<f64>())) as u64;
+            match gate.offer(&offer(rng.random(), rank, kind, left_us), now_us) {
+                Verdict::Run(ticket) => {
+                    known.insert(ticket, (kind, run_us, now_us + left_us));
+                    ends.insert((now_us + run_us, ticket));
+                }
+                Verdict::Wait(ticket) => {
+                    known.insert(ticket, (kind, run_us, now_us + left_us));
+                }
+                Verdict::Refuse(_) => {}
+            }
+        }
+        for release in gate.poll(now_us) {
+            if let Release::Run(ticket) = release {
+                ends.insert((now_us + known[&ticket].1, ticket));
+            }
+        }
+    }
+    served
+}
+
+fn share(served: &Served, kind: u32) -> f64 {
+    let (in_time, all) = served[&kind];
+    f64::from(in_time) / f64::from(all)
+}
+
+/// The load that this policy is for, from what callers get: both kinds are served, where a limit
+/// learnt from latency refuses a part of work that fits into the slots.
+#[test]
+fn short_calls_and_long_lookups_are_both_served_below_capacity() {
+    let slots = play(&mut SlotAdmission::new(SlotSettings::default()));
+    let learnt = play(&mut AdaptiveAdmission::new(&AdmissionSettings::default()));
+    for kind in [1, 2] {
+        assert!(share(&slots, kind) > 0.98, "{kind}: {slots:?}");
+        assert!(share(&slots, kind) >= share(&learnt, kind), "{kind}: {slots:?} {learnt:?}");
+    }
+    let all = |served: &Served| served.values().map(|(in_time, _)| in_time).sum::<u32>();
+    assert!(all(&slots) > all(&learnt), "{slots:?} {learnt:?}");
+}
--- a/crates/policy/src/routing/load_router.rs
+++ b/crates/policy/src/routing/load_router.rs
@@ -291,3 +291,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/policy/src/routing/load_router/tests.rs
@@ -0,0 +1,141 @@
+use tarragon_model::call::Reason;
+use tarragon_model::identity::InstanceId;
+use tarragon_model::identity::RequestId;
+use tarragon_model::member::BackendState;
+
+use super::LoadRouter;
+use super::LoadSettings;
+use crate::admission::AdmissionAdvice;
+use crate::routing::CallEnd;
+use crate::routing::CallResult;
+use crate::routing::Candidate;
+use crate::routing::Distance;
+use crate::routing::PeerState;
+use crate::routing::RouteDecision;
+use crate::routing::RoutePolicy;
+use crate::routing::RouteQuery;
+
+const SERVICE: &str = "planner";
+const MS: u64 = 1_000;
+
+fn candidate(id: u64, distance: Distance) -> Candidate {
+    Candidate { instance: InstanceId(id), distance, state: BackendState::Ready }
+}
+
+fn router(candidates: &[Candidate]) -> LoadRouter {
+    let mut router = LoadRouter::new(LoadSettings::default(), 7);
+    router.set_candidates(SERVICE, candidates, 0);
+    router
+}
+
+fn tell(router: &mut LoadRouter, id: u64, in_flight: u32, now_us: u64) {
+    let advice = AdmissionAdvice { in_flight, limit: 50, ..AdmissionAdvice::default() };
+    router.advise(SERVICE, InstanceId(id), &advice, now_us);
+}
+
+fn choose(router: &mut LoadRouter, excluded: &[InstanceId], now_us: u64) -> Option<u64> {
+    let query = RouteQuery {
+        service: SERVICE,
+        request_id: RequestId { instance: InstanceId(1), counter: 1 },
+        rank: 1,
+        excluded,
+        needs_proven: false,
+    };
+    match router.choose(&query, now_us) {
+        RouteDecision::Use(target) => Some(target.0),
+        RouteDecision::Refuse { reason, retry_after_ms } => {
+            assert_eq!(reason, Reason::NoServer);
+            assert!(retry_after_ms > 0);
+            None
+        }
+    }
+}
+
+fn shares(router: &mut LoadRouter, now_us: u64) -> [usize; 4] {
+    let mut counts = [0; 4];
+    for _ in 0..400 {
+        let target = choose(router, &[], now_us).expect("there is a server");
+        counts[usize::try_from(target).expect("small ids")] += 1;
+    }
+    counts
+}
+
+/// Guards against bytes between data centres while the own one has room.
+#[test]
+fn the_own_data_centre_serves_until_its_server_is_nearly_full() {
+    let mut router = router(&[candidate(1, Distance::Local), candidate(2, Distance::Region)]);
+    tell(&mut router, 1, 35, 0);
+    tell(&mut router, 2, 0, 0);
+    assert_eq!(shares(&mut router, 0), [0, 400, 0, 0]);
+    tell(&mut router, 1, 48, 0);
+    assert_eq!(shares(&mut router, 0), [0, 0, 400, 0]);
+}
+
+/// Guards against a full server that goes on getting work because a long request elsewhere made
+/// another server look slow: only the load decides.
+#[test]
+fn latency_of_single_requests_does_not_matter() {
+    let mut router = router(&[candidate(1, Distance::Local), candidate(2, Distance::Local)]);
+    tell(&mut router, 1, 10, 0);
+    tell(&mut router, 2, 40, 0);
+    router.started(SERVICE, InstanceId(1), 0);
+    let slow = CallResult { latency_us: 8_000 * MS, end: CallEnd::Answered };
+    router.finished(SERVICE, InstanceId(1), &slow, 0);
+    let [_, first, second, _] = shares(&mut router, 0);
+    assert!(first > second, "{first} against {second}");
+}
+
+/// Guards against herds: what this node has sent since the gate spoke counts at once.
+#[test]
+fn own_calls_count_before_the_gate_tells_of_them() {
+    let mut router = router(&[candidate(1, Distance::Local), candidate(2, Distance::Local)]);
+    tell(&mut router, 1, 0, 0);
+    tell(&mut router, 2, 20, 0);
+    for _ in 0..30 {
+        router.started(SERVICE, InstanceId(1), 0);
+    }
+    let [_, first, second, _] = shares(&mut router, 0);
+    assert!(second > first, "{first} against {second}");
+}
+
+/// Guards against a server that fails quickly, looks idle and so draws all work.
+#[test]
+fn a_server_that_fails_more_than_its_peers_is_avoided_and_tried_again() {
+    let mut router = router(&[candidate(1, Distance::Local), candidate(2, Distance::Local)]);
+    for at in 0..40 {
+        let end = if at % 2 == 0 { CallEnd::Errored } else { CallEnd::Answered };
+        router.started(SERVICE, InstanceId(1), 0);
+        router.finished(SERVICE, InstanceId(1), &CallResult { latency_us: MS, end }, 0);
+        let well = CallResult { latency_us: MS, end: CallEnd::Answered };
+        router.started(SERVICE, InstanceId(2), 0);
+        router.finished(SERVICE, InstanceId(2), &well, 0);
+    }
+    assert_eq!(shares(&mut router, 500 * MS), [0, 0, 400, 0]);
+    assert!(shares(&mut router, 2_000 * MS)[1] > 0);
+}
+
+/// Guards against an avoided service: if all servers fail alike, the cause lies behind them.
+#[test]
+fn servers_that_all_fail_are_all_used() {
+    let mut router = router(&[candidate(1, Distance::Local), candidate(2, Distance::Local)]);
+    for _ in 0..40 {
+        for id in [1, 2] {
+            let failed = CallResult { latency_us: MS, end: CallEnd::Errored };
+            router.started(SERVICE, InstanceId(id), 0);
+            router.finished(SERVICE, InstanceId(id), &failed, 0);
+        }
+    }
+    let [_, first, second, _] = shares(&mut router, 10 * MS);
+    assert!(first > 100 && second > 100, "{first} against {second}");
+}
+
+#[test]
+fn excluded_draining_and_suspect_servers_come_last_or_never() {
+    let draining = Candidate { state: BackendState::Draining, ..candidate(3, Distance::Local) };
+    let others = [candidate(1, Distance::Local), candidate(2, Distance::Region), draining];
+    let mut router = router(&others);
+    router.set_peer_state(InstanceId(1), PeerState::Suspect, 0);
+    assert_eq!(choose(&mut router, &[], 0), Some(2));
+    assert_eq!(choose(&mut router, &[InstanceId(2)], 0), Some(1));
+    assert_eq!(choose(&mut router, &[InstanceId(1), InstanceId(2)], 0), None);
+}
--- a/crates/policy/src/routing/weighted_split.rs
+++ b/crates/policy/src/routing/weighted_split.rs
@@ -30,3 +30,6 @@
         best
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/tarragond/tests/import_style.rs
+++ b/crates/tarragond/tests/import_style.rs
@@ -60,9 +60,10 @@
 
 #[test]
 fn imports_are_one_a_line_in_three_groups() {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).ancestors().nth(2).unwrap();
     let mut files = Vec::new();
-    source_files(root, &mut files);
+    source_files(&root.join("crates"), &mut files);
+    source_files(&root.join("platform"), &mut files);
     assert!(files.len() > 10, "the source tree was not found");
     let mut report = Vec::new();
     for file in files {
