--- a/crates/node/src/app/mod.rs
+++ b/crates/node/src/app/mod.rs
@@ -6,6 +6,7 @@
 mod logging;
 mod node;
 mod policies;
+mod pulled_metrics;
 mod shutdown;
 mod statsd;
 
--- a/crates/node/src/app/node.rs
+++ b/crates/node/src/app/node.rs
@@ -61,6 +61,9 @@
 use crate::app::late_gate::LateGate;
 use crate::app::logging::start_logging;
 use crate::app::policies::policies;
+use crate::app::pulled_metrics::MetricsListener;
+use crate::app::pulled_metrics::MetricsPair;
+use crate::app::pulled_metrics::PulledMetrics;
 use crate::app::shutdown::StopSignals;
 use crate::app::statsd::StatsdMetrics;
 use crate::app::AppError;
@@ -124,7 +127,9 @@
         let operator_key =
             OperatorKey::from_file(&settings.operator_key_file).change_context(AppError::Keys)?;
         let instance = InstanceId(random());
-        let metrics = metrics(&settings)?;
+        let pulled =
+            settings.metrics_address.map(|address| (address, Arc::new(PulledMetrics::new())));
+        let metrics = metrics(&settings, pulled.as_ref().map(|(_, pulled)| pulled))?;
         let refusals = |metric| Refusals::new(metric, Arc::clone(&metrics));
         info!("kernel: node {} is instance {instance}", settings.node_name);
 
@@ -212,6 +217,9 @@
             control_services.push(Arc::new(supervisor));
         }
         control_services.extend(replica.map(|replica| Arc::new(replica) as Arc<dyn Service>));
+        if let Some((address, pulled)) = pulled {
+            control_services.push(Arc::new(MetricsListener::new(address, pulled)));
+        }
         let (serving, serving_receiver) = watch::channel(Serving::default());
         let environment = Environment {
             instance,
@@ -376,10 +384,19 @@
     }
 }
 
-fn metrics(settings: &Settings) -> Result<Arc<dyn Metrics>, Report<AppError>> {
-    Ok(match settings.statsd_address {
-        Some(address) => Arc::new(StatsdMetrics::open(address, &settings.node_name)?),
-        None => Arc::new(NoMetrics),
+fn metrics(
+    settings: &Settings,
+    pulled: Option<&Arc<PulledMetrics>>,
+) -> Result<Arc<dyn Metrics>, Report<AppError>> {
+    let sent: Option<Arc<dyn Metrics>> = match settings.statsd_address {
+        Some(address) => Some(Arc::new(StatsdMetrics::open(address, &settings.node_name)?)),
+        None => None,
+    };
+    let pulled = pulled.map(|pulled| Arc::clone(pulled) as Arc<dyn Metrics>);
+    Ok(match (sent, pulled) {
+        (Some(sent), Some(pulled)) => Arc::new(MetricsPair(sent, pulled)),
+        (Some(one), None) | (None, Some(one)) => one,
+        (None, None) => Arc::new(NoMetrics),
     })
 }
 
--- a/crates/node/src/conf/settings.rs
+++ b/crates/node/src/conf/settings.rs
@@ -40,6 +40,9 @@
     /// StatsD address for metrics; none are sent without it.
     #[serde(default)]
     pub statsd_address: Option<SocketAddr>,
+    /// Where counters and latency histograms are served as text; nowhere without it.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
     /// Log output.
     #[serde(default)]
     pub log: LogSettings,
--- a/crates/tarragond/tests/platform.rs
+++ b/crates/tarragond/tests/platform.rs
@@ -290,6 +290,14 @@
     assert!(text.contains("caller=trucks server=i-rows"), "{text}");
     assert_eq!(runs.load(Ordering::SeqCst), 1);
 
+    let metrics = send(entry.at(9_464), "GET /metrics HTTP/1.1\r\nHost: metrics", "").unwrap();
+    assert!(
+        metrics.text.contains("tarragon_events_total{name=\"answered\"} 1"),
+        "{}",
+        metrics.text
+    );
+    assert!(metrics.text.contains("tarragon_latency_seconds_bucket"), "{}", metrics.text);
+
     // A control host comes back with an empty disk, and another one fails after that.
     cores[2].kill();
     std::fs::remove_dir_all(cores[2].folder.path().join("data")).unwrap();
