Elect a first leader sooner after a start

Change: in the first 3 s without a leader the election wait is 150 to 300 ms. Others that hear a leader refuse the pre-vote, so a replica that restarts alone disturbs nobody.

--- a/crates/consensus/src/raft/replica.rs
+++ b/crates/consensus/src/raft/replica.rs
@@ -68,6 +68,7 @@
     stopped: Option<StopReason>,
     pub(super) leader: Option<ReplicaId>,
     pub(super) leader_heard_ms: u64,
+    started_ms: u64,
     pub(super) election_at_ms: u64,
     pub(super) commit_index: u64,
     pub(super) applied_index: u64,
@@ -120,7 +121,8 @@
             role: Role::Follower,
             stopped: None,
             leader: None,
-            leader_heard_ms: 0,
+            leader_heard_ms: now_ms,
+            started_ms: now_ms,
             election_at_ms: 0,
             commit_index: snapshot_index,
             applied_index: snapshot_index,
@@ -205,7 +207,11 @@
     }
 
     pub(super) fn draw_election_time(&mut self) {
-        let election_ms = self.settings.election_ms.max(1);
+        let is_starting = self.leader_heard_ms <= self.started_ms
+            && self.now_ms < self.started_ms + self.settings.start_ms;
+        let settings = &self.settings;
+        let wait_ms = if is_starting { settings.start_election_ms } else { settings.election_ms };
+        let election_ms = wait_ms.max(1);
         self.election_at_ms =
             self.now_ms + election_ms + self.rng.random_range(0..election_ms.max(2));
     }
--- a/crates/consensus/src/raft/settings.rs
+++ b/crates/consensus/src/raft/settings.rs
@@ -6,6 +6,12 @@
     /// Shortest time without a leader before an election, in ms; each wait is drawn between once
     /// and twice this. It is also the time in which a leader must hear from a majority.
     pub election_ms: u64,
+    /// The same wait in the first time after a start in which no leader was heard, in ms. After a
+    /// loss of power all replicas start together and nobody leads; a replica that starts alone
+    /// disturbs no leader with it, because the others refuse its pre-vote.
+    pub start_election_ms: u64,
+    /// Length of that time, in ms.
+    pub start_ms: u64,
     /// Most bytes of entries in one message, unless a single entry is longer.
     pub batch_bytes: usize,
     /// Most entries sent to a follower beyond those that it has acknowledged.
@@ -37,6 +43,8 @@
         Self {
             heartbeat_ms: 200,
             election_ms: 1_000,
+            start_election_ms: 150,
+            start_ms: 3_000,
             batch_bytes: 512 << 10,
             window_entries: 64,
             command_bytes: 1 << 20,
