--- a/crates/datapath/src/entry/entry_body.rs
+++ b/crates/datapath/src/entry/entry_body.rs
@@ -25,6 +25,7 @@
     service: String,
     target: InstanceId,
     started: Instant,
+    kind: u32,
     latency_us: Option<u64>,
     whole_end: CallEnd,
     end: CallEnd,
@@ -36,6 +37,7 @@
         clock: Clock,
         service: &str,
         target: InstanceId,
+        kind: u32,
     ) -> Self {
         let service = service.to_string();
         let mut policy = route.lock().expect("no holder of the lock panics");
@@ -47,6 +49,7 @@
             service,
             target,
             started: Instant::now(),
+            kind,
             latency_us: None,
             whole_end: CallEnd::Answered,
             end: CallEnd::Cancelled,
@@ -69,7 +72,7 @@
     fn drop(&mut self) {
         let elapsed = || crate::datapath::micros(self.started.elapsed());
         let latency_us = self.latency_us.unwrap_or_else(elapsed);
-        let result = CallResult { latency_us, end: self.end };
+        let result = CallResult { latency_us, end: self.end, kind: self.kind };
         let mut policy = self.route.lock().expect("no holder of the lock panics");
         policy.finished(&self.service, self.target, &result, self.clock.now_us());
     }
--- a/crates/datapath/src/entry/forwarder.rs
+++ b/crates/datapath/src/entry/forwarder.rs
@@ -289,7 +289,8 @@
         let attempt = self.next_attempt.fetch_add(1, Ordering::Relaxed);
         let tokens = self.retry().lend(call.ledger_span);
         let parts = &self.parts;
-        let mut guard = RouteGuard::start(&parts.route, parts.clock, &call.service, target);
+        let mut guard =
+            RouteGuard::start(&parts.route, parts.clock, &call.service, target, call.kind);
         debug!("route: {} attempt {attempt} goes to {target}", call.context.request_id);
         let gate_call = call.attempt(attempt, tokens);
         let answer = if target == parts.instance {
--- a/crates/policy/examples/measure_chain/world.rs
+++ b/crates/policy/examples/measure_chain/world.rs
@@ -368,7 +368,7 @@
             End::Answered | End::Failed => CallEnd::Answered,
             End::NotRun => CallEnd::NotRun,
         };
-        let result = CallResult { latency_us: now_us - call.sent_us, end: call_end };
+        let result = CallResult { latency_us: now_us - call.sent_us, end: call_end, kind: 0 };
         node.route.finished(name, target, &result, now_us);
         node.route.advise(name, target, advice, now_us);
         node.retry.give_back(call.origin.span, tokens.min(call.lent));
--- a/crates/policy/examples/measure_routing.rs
+++ b/crates/policy/examples/measure_routing.rs
@@ -252,7 +252,8 @@
     fn answer(&mut self, request: usize) -> u64 {
         self.requests[request].is_answered = true;
         let Request { entry, server, sent_us, .. } = self.requests[request];
-        let result = CallResult { latency_us: self.now_us - sent_us, end: CallEnd::Answered };
+        let result =
+            CallResult { latency_us: self.now_us - sent_us, end: CallEnd::Answered, kind: 0 };
         self.entries[entry].finished(SERVICE, InstanceId(server as u64), &result, self.now_us);
         result.latency_us
     }
--- a/crates/policy/src/routing/load_router.rs
+++ b/crates/policy/src/routing/load_router.rs
@@ -40,6 +40,11 @@
     pub failure_margin: f64,
     /// Time for which it is avoided, in ms.
     pub avoid_ms: u64,
+    /// Load that an idle server is taken to have when speeds are compared, as a share of its limit.
+    pub idle_load: f64,
+    /// Time after which what was seen of a server's speed has lost most of its force, in ms, so that
+    /// one that was slow is tried again.
+    pub speed_decay_ms: u64,
     /// When a caller should try again if there is no server, in ms.
     pub no_server_retry_ms: u64,
 }
@@ -56,6 +61,8 @@
             default_limit: 16,
             failure_margin: 0.3,
             avoid_ms: 1_000,
+            idle_load: 0.25,
+            speed_decay_ms: 4_000,
             no_server_retry_ms: 500,
         }
     }
@@ -64,6 +71,41 @@
 /// Weight of the newest call in a server's share of failures.
 const FAILURE_WEIGHT: f64 = 1.0 / 12.0;
 
+/// Weight of the newest call in a server's speed and in the mean of its kind.
+const SPEED_WEIGHT: f64 = 1.0 / 16.0;
+
+/// Share of another cost from which a cost counts as lower.
+const TIE_SHARE: f64 = 0.97;
+
+/// Bounds of one call's latency relative to its kind, so that single calls do not decide.
+const RATIO_BOUNDS: (f64, f64) = (0.2, 5.0);
+
+/// Most kinds of requests of a service with a mean of their own; beyond it all are learnt anew.
+const MAX_KINDS: usize = 1_024;
+
+/// The servers of a service.
+#[derive(Debug, Default)]
+struct Pool {
+    servers: Vec<Server>,
+    /// Mean latency of answers by kind of request, in µs.
+    kinds: HashMap<u32, f64>,
+}
+
+impl Pool {
+    /// Latency relative to other answers of the kind, which it joins.
+    fn relative(&mut self, kind: u32, latency_us: u64) -> f64 {
+        if self.kinds.len() >= MAX_KINDS && !self.kinds.contains_key(&kind) {
+            self.kinds.clear();
+        }
+        let latency_us = latency_us.max(1) as f64;
+        let mean = self.kinds.entry(kind).or_insert(latency_us);
+        let (least, most) = RATIO_BOUNDS;
+        let ratio = (latency_us / *mean).clamp(least, most);
+        *mean += (latency_us - *mean) * SPEED_WEIGHT;
+        ratio
+    }
+}
+
 #[derive(Debug)]
 struct Server {
     candidate: Candidate,
@@ -73,6 +115,9 @@
     told: Option<(AdmissionAdvice, u64, u32)>,
     failure_share: f64,
     avoided_until_us: u64,
+    /// Mean latency relative to other answers of the same kinds, and when it was updated, in µs.
+    slowness: f64,
+    slowness_us: u64,
 }
 
 impl Server {
@@ -84,9 +129,29 @@
             told: None,
             failure_share: 0.0,
             avoided_until_us: 0,
+            slowness: 1.0,
+            slowness_us: 0,
         }
     }
 
+    /// How much slower than its peers it is; 1 if nothing was seen for long.
+    fn slowness(&self, settings: &LoadSettings, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.slowness_us) as f64;
+        let force = (-age_us / (settings.speed_decay_ms * 1_000).max(1) as f64).exp();
+        1.0 + (self.slowness - 1.0) * force
+    }
+
+    fn record_speed(&mut self, ratio: f64, settings: &LoadSettings, now_us: u64) {
+        let present = self.slowness(settings, now_us);
+        self.slowness = present + (ratio - present) * SPEED_WEIGHT;
+        self.slowness_us = now_us;
+    }
+
+    /// What a request has to expect: more the fuller and the slower the server is.
+    fn cost(&self, settings: &LoadSettings, now_us: u64) -> f64 {
+        (self.load(settings, now_us) + settings.idle_load) * self.slowness(settings, now_us)
+    }
+
     /// Share of its limit that the server has in use: the calls of this node as they are now, and
     /// those of others as the gate last told.
     fn load(&self, settings: &LoadSettings, now_us: u64) -> f64 {
@@ -119,12 +184,13 @@
 /// latency tells more about which request was served than about the server. A server is as loaded
 /// as its gate says, corrected by what this node has sent since. The own data centre goes first
 /// until its servers are nearly full; then the less loaded of two random servers of the region is
-/// chosen. A slow server fills up and so gets less. A server that fails far more of its calls than
+/// chosen. Of two servers that are alike in load the one that is faster for the same kinds of
+/// requests is better, since long requests end within their time limit only on a fast one. A server that fails far more of its calls than
 /// its peers is avoided for a while, since quick failures would else make it look idle.
 pub struct LoadRouter {
     settings: LoadSettings,
     rng: Pcg32,
-    services: HashMap<String, Vec<Server>>,
+    services: HashMap<String, Pool>,
     /// Peers that are not `Unproven`.
     peers: HashMap<InstanceId, PeerState>,
 }
@@ -137,8 +203,8 @@
     }
 
     fn server(&mut self, service: &str, target: InstanceId) -> Option<&mut Server> {
-        let servers = self.services.get_mut(service)?;
-        servers.iter_mut().find(|server| server.candidate.instance == target)
+        let pool = self.services.get_mut(service)?;
+        pool.servers.iter_mut().find(|server| server.candidate.instance == target)
     }
 
     /// The less loaded of two random servers (Mitzenmacher, "The power of two choices in
@@ -153,13 +219,14 @@
             }
         };
         let (first, second) = (among.get(first)?, among.get(second)?);
-        Some(if second.1 < first.1 { second.0 } else { first.0 })
+        // Costs that hardly differ are a tie, or else one server would get all work for nothing.
+        Some(if second.1 < first.1 * TIE_SHARE { second.0 } else { first.0 })
     }
 }
 
 impl RoutePolicy for LoadRouter {
     fn set_candidates(&mut self, service: &str, candidates: &[Candidate], _now_us: u64) {
-        let servers = self.services.entry(service.to_string()).or_default();
+        let servers = &mut self.services.entry(service.to_string()).or_default().servers;
         for server in servers.iter_mut() {
             let listed = candidates.iter().find(|c| c.instance == server.candidate.instance);
             server.is_listed = listed.is_some();
@@ -184,8 +251,9 @@
             reason: Reason::NoServer,
             retry_after_ms: settings.no_server_retry_ms,
         };
-        let Some(servers) = self.services.get(query.service) else { return none };
-        let usable: Vec<&Server> = servers
+        let Some(pool) = self.services.get(query.service) else { return none };
+        let usable: Vec<&Server> = pool
+            .servers
             .iter()
             .filter(|server| {
                 let candidate = &server.candidate;
@@ -212,27 +280,21 @@
         }
         narrow(&is_well);
         narrow(&|server| server.is_admitting(query, &settings, now_us));
-        let loads: Vec<(Distance, InstanceId, f64)> = group
+        let near: Vec<(InstanceId, f64)> = group
             .iter()
-            .map(|server| {
-                let load = server.load(&settings, now_us);
-                (server.candidate.distance, server.candidate.instance, load)
-            })
-            .collect();
-        let near: Vec<(InstanceId, f64)> = loads
-            .iter()
-            .filter(|(distance, _, load)| {
-                *distance == Distance::Local && *load < settings.local_load
+            .filter(|server| {
+                let is_local = server.candidate.distance == Distance::Local;
+                is_local && server.load(&settings, now_us) < settings.local_load
             })
-            .map(|(_, instance, load)| (*instance, *load))
+            .map(|server| (server.candidate.instance, server.cost(&settings, now_us)))
             .collect();
-        let all = loads.iter().map(|(distance, instance, load)| {
-            let penalty = match distance {
+        let all = group.iter().map(|server| {
+            let penalty = match server.candidate.distance {
                 Distance::Local => 0.0,
                 Distance::Region => settings.region_penalty,
                 Distance::Remote => settings.remote_penalty,
             };
-            (*instance, load + penalty)
+            (server.candidate.instance, server.cost(&settings, now_us) + penalty)
         });
         let among = if near.is_empty() { all.collect() } else { near };
         self.pick(&among).map_or(none, RouteDecision::Use)
@@ -246,7 +308,12 @@
 
     fn finished(&mut self, service: &str, target: InstanceId, result: &CallResult, now_us: u64) {
         let settings = self.settings;
-        let Some(servers) = self.services.get_mut(service) else { return };
+        let Some(pool) = self.services.get_mut(service) else { return };
+        let ratio = match result.end {
+            CallEnd::Answered => Some(pool.relative(result.kind, result.latency_us)),
+            _ => None,
+        };
+        let servers = &mut pool.servers;
         let shares = servers.iter().map(|s| (s.candidate.instance, s.failure_share));
         let others: Vec<f64> =
             shares.filter(|(i, _)| *i != target).map(|(_, share)| share).collect();
@@ -254,6 +321,9 @@
             return;
         };
         server.in_flight = server.in_flight.saturating_sub(1);
+        if let Some(ratio) = ratio {
+            server.record_speed(ratio, &settings, now_us);
+        }
         let failed = match result.end {
             CallEnd::Answered => 0.0,
             CallEnd::Errored | CallEnd::Failed | CallEnd::Rejected => 1.0,
@@ -281,11 +351,12 @@
             _ => self.peers.insert(target, state),
         };
         // States of peers that are no candidates any more go once there are many.
-        let known: usize = self.services.values().map(Vec::len).sum();
+        let known: usize = self.services.values().map(|pool| pool.servers.len()).sum();
         if self.peers.len() > 2 * known + 64 {
             let services = &self.services;
             let is_known = |peer: &InstanceId| {
-                services.values().flatten().any(|server| server.candidate.instance == *peer)
+                let mut servers = services.values().flat_map(|pool| &pool.servers);
+                servers.any(|server| server.candidate.instance == *peer)
             };
             self.peers.retain(|peer, _| is_known(peer));
         }
--- a/crates/policy/src/routing/load_router/tests.rs
+++ b/crates/policy/src/routing/load_router/tests.rs
@@ -79,7 +79,7 @@
     tell(&mut router, 1, 10, 0);
     tell(&mut router, 2, 40, 0);
     router.started(SERVICE, InstanceId(1), 0);
-    let slow = CallResult { latency_us: 8_000 * MS, end: CallEnd::Answered };
+    let slow = CallResult { latency_us: 8_000 * MS, end: CallEnd::Answered, kind: 2 };
     router.finished(SERVICE, InstanceId(1), &slow, 0);
     let [_, first, second, _] = shares(&mut router, 0);
     assert!(first > second, "{first} against {second}");
@@ -105,8 +105,8 @@
     for at in 0..40 {
         let end = if at % 2 == 0 { CallEnd::Errored } else { CallEnd::Answered };
         router.started(SERVICE, InstanceId(1), 0);
-        router.finished(SERVICE, InstanceId(1), &CallResult { latency_us: MS, end }, 0);
-        let well = CallResult { latency_us: MS, end: CallEnd::Answered };
+        router.finished(SERVICE, InstanceId(1), &CallResult { latency_us: MS, end, kind: 0 }, 0);
+        let well = CallResult { latency_us: MS, end: CallEnd::Answered, kind: 0 };
         router.started(SERVICE, InstanceId(2), 0);
         router.finished(SERVICE, InstanceId(2), &well, 0);
     }
@@ -120,7 +120,7 @@
     let mut router = router(&[candidate(1, Distance::Local), candidate(2, Distance::Local)]);
     for _ in 0..40 {
         for id in [1, 2] {
-            let failed = CallResult { latency_us: MS, end: CallEnd::Errored };
+            let failed = CallResult { latency_us: MS, end: CallEnd::Errored, kind: 0 };
             router.started(SERVICE, InstanceId(id), 0);
             router.finished(SERVICE, InstanceId(id), &failed, 0);
         }
@@ -139,3 +139,24 @@
     assert_eq!(choose(&mut router, &[InstanceId(2)], 0), Some(1));
     assert_eq!(choose(&mut router, &[InstanceId(1), InstanceId(2)], 0), None);
 }
+
+/// Guards against long requests that miss their time limit on a slow server while a fast one has
+/// room, and against a server that stays avoided for ever because it once was slow.
+#[test]
+fn a_faster_server_is_preferred_at_equal_load_and_a_slow_one_is_tried_again() {
+    let mut router = router(&[candidate(1, Distance::Local), candidate(2, Distance::Local)]);
+    for at in 0..60 {
+        for (id, latency_us) in [(1, 400 * MS), (2, 100 * MS)] {
+            // Both serve the same mix of kinds.
+            let (kind, factor) = if at % 3 == 0 { (7, 5) } else { (8, 1) };
+            let result =
+                CallResult { latency_us: latency_us * factor, end: CallEnd::Answered, kind };
+            router.started(SERVICE, InstanceId(id), 0);
+            router.finished(SERVICE, InstanceId(id), &result, 0);
+        }
+    }
+    let [_, slow, fast, _] = shares(&mut router, 0);
+    assert!(fast > 9 * slow, "{fast} against {slow}");
+    let [_, slow, fast, _] = shares(&mut router, 60_000 * MS);
+    assert!(slow > 100 && fast > 100, "{fast} against {slow}");
+}
--- a/crates/policy/src/routing/policy.rs
+++ b/crates/policy/src/routing/policy.rs
@@ -91,6 +91,8 @@
     pub latency_us: u64,
     /// How it ended.
     pub end: CallEnd,
+    /// Kind of request, by which latencies are compared; 0 if it is not known.
+    pub kind: u32,
 }
 
 /// Chooses backend servers for one node, see `docs/design.md`, section 3.5.
--- a/crates/policy/src/routing/tests.rs
+++ b/crates/policy/src/routing/tests.rs
@@ -80,7 +80,7 @@
             self.router.started(SERVICE, server, self.now_us);
             *self.counts.entry(server.0).or_default() += 1;
             if let Some((end, latency_us)) = treat(server.0) {
-                let result = CallResult { latency_us, end };
+                let result = CallResult { latency_us, end, kind: 0 };
                 self.ends.insert((self.now_us + latency_us, self.sent), (server, result));
             }
         }
@@ -134,7 +134,8 @@
             3 => {
                 let ends =
                     [CallEnd::Answered, CallEnd::NotRun, CallEnd::Failed, CallEnd::Cancelled];
-                let result = CallResult { latency_us: 5 * MS, end: ends[usize::from(how) % 4] };
+                let result =
+                    CallResult { latency_us: 5 * MS, end: ends[usize::from(how) % 4], kind: 0 };
                 router.finished(SERVICE, instance, &result, now_us);
             }
             _ => {
@@ -402,7 +403,7 @@
     let now_us = load.now_us;
     let open = load.counts.get(&0).copied().unwrap_or(0);
     for n in 0..if slow.is_none() { open } else { 0 } {
-        let result = CallResult { latency_us: SECOND, end: CallEnd::Failed };
+        let result = CallResult { latency_us: SECOND, end: CallEnd::Failed, kind: 0 };
         load.ends.insert((now_us, u64::MAX - n), (InstanceId(0), result));
     }
     load.run(10 * SECOND, |_| well);
