--- a/crates/node/src/app/node.rs
+++ b/crates/node/src/app/node.rs
@@ -73,6 +73,10 @@
 /// sooner; this covers a node that hears no members.
 const CATALOGUE_POLL_INTERVAL_MS: u64 = 10_000;
 
+/// Period at which a join is tried again, in ms. After a loss of power of all hosts the first try
+/// finds no seed that listens, and callers wait for the join.
+const JOIN_RETRY_MS: u64 = 300;
+
 /// Longest wait for the catalogue before callers are served, in ms. A node that is cut off then
 /// goes on with what it has.
 const READY_TIMEOUT_MS: u64 = 15_000;
@@ -151,6 +155,7 @@
             settings: MembershipSettings {
                 seeds: settings.seeds.clone(),
                 has_full_state_source: true,
+                join_retry_ms: JOIN_RETRY_MS,
                 ..MembershipSettings::default()
             },
             deployment_key: deployment_key.clone(),
--- a/crates/policy/src/admission/slot_admission.rs
+++ b/crates/policy/src/admission/slot_admission.rs
@@ -48,6 +48,9 @@
 /// Weight of the newest run in the mean run time of its kind.
 const RUN_WEIGHT: f64 = 1.0 / 32.0;
 
+/// Different times to come back that are told for one predicted wait, up to half above it.
+const SPREAD_STEPS: u64 = 16;
+
 /// Most kinds of requests with a mean of their own; beyond it all are learnt anew.
 const MAX_KINDS: usize = 4_096;
 
@@ -124,7 +127,10 @@
     }
 
     fn refusal(&self, reason: Reason, rank: u8) -> Refusal {
-        Refusal { reason, retry_after_ms: self.wait_us(rank).div_ceil(1_000).max(1) }
+        // Spread by ticket, so that those who are refused together do not come back together.
+        let spread = 1.0 + (self.last_ticket % SPREAD_STEPS) as f64 / SPREAD_STEPS as f64 / 2.0;
+        let wait_ms = (self.wait_us(rank) as f64 * spread / 1_000.0).ceil();
+        Refusal { reason, retry_after_ms: (wait_ms as u64).max(1) }
     }
 
     fn remove(&mut self, rank: u8, ticket: Ticket) -> Option<Waiting> {
--- a/crates/policy/src/routing/load_router.rs
+++ b/crates/policy/src/routing/load_router.rs
@@ -45,7 +45,8 @@
     /// Time after which what was seen of a server's speed has lost most of its force, in ms, so that
     /// one that was slow is tried again.
     pub speed_decay_ms: u64,
-    /// When a caller should try again if there is no server, in ms.
+    /// When a caller should try again if there is no server, in ms; each is told half of this to one
+    /// and a half times this.
     pub no_server_retry_ms: u64,
 }
 
@@ -247,10 +248,10 @@
 
     fn choose(&mut self, query: &RouteQuery<'_>, now_us: u64) -> RouteDecision {
         let settings = self.settings;
-        let none = RouteDecision::Refuse {
-            reason: Reason::NoServer,
-            retry_after_ms: settings.no_server_retry_ms,
-        };
+        // Callers that are refused together must not come back together.
+        let mean_ms = settings.no_server_retry_ms;
+        let retry_after_ms = self.rng.random_range(mean_ms / 2..=mean_ms * 3 / 2);
+        let none = RouteDecision::Refuse { reason: Reason::NoServer, retry_after_ms };
         let Some(pool) = self.services.get(query.service) else { return none };
         let usable: Vec<&Server> = pool
             .servers
