Keep the milliseconds of the time to come back between nodes

Callers waited up to a second for nothing. Change: a header of its own between nodes; callers of the project's own interface still get whole seconds.

--- a/crates/datapath/src/peer/peer_server.rs
+++ b/crates/datapath/src/peer/peer_server.rs
@@ -187,8 +187,10 @@
             Err((failure, tokens)) => (Err(failure), tokens, None),
         };
         let is_answered = result.is_ok();
+        let retry_after_ms = result.as_ref().err().map_or(0, |failure| failure.retry_after_ms);
         let mut response = result.unwrap_or_else(Failure::into_response);
         let map = response.headers_mut();
+        map.insert(headers::RETRY_AFTER_MS, retry_after_ms.into());
         if is_answered {
             let value = HeaderValue::from_static(Outcome::Answered.as_str());
             map.insert(headers::OUTCOME, value);
--- a/crates/datapath/src/peer/peers.rs
+++ b/crates/datapath/src/peer/peers.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use http::header::RETRY_AFTER;
 use http::HeaderMap;
 use http::HeaderName;
 use http::Method;
@@ -339,7 +338,7 @@
             Ok(Response::from_parts(parts, PeerBody::new(incoming, channel).boxed_unsync()))
         }
         (Some(_), Some(reason)) => {
-            let retry_after_ms = number(&parts.headers, RETRY_AFTER).unwrap_or(0) * 1_000;
+            let retry_after_ms = number(&parts.headers, headers::RETRY_AFTER_MS).unwrap_or(0);
             Err(Failure { reason, status: parts.status, retry_after_ms })
         }
         _ => Err(Reason::BadAnswer.into()),
--- a/crates/datapath/src/transport/hop_headers.rs
+++ b/crates/datapath/src/transport/hop_headers.rs
@@ -17,7 +17,8 @@
 ];
 
 /// Headers that only nodes may set.
-const TARRAGON_HEADERS: [HeaderName; 13] = [
+const TARRAGON_HEADERS: [HeaderName; 14] = [
+    headers::RETRY_AFTER_MS,
     headers::KIND,
     headers::SERVICE,
     headers::REQUEST_ID,
--- a/crates/datapath/tests/datapath/peers.rs
+++ b/crates/datapath/tests/datapath/peers.rs
@@ -16,6 +16,8 @@
 use tokio::net::TcpStream;
 
 use crate::calls::until_answered;
+use crate::calls::until_routed;
+use crate::support::request;
 use crate::support::text;
 use crate::support::Cluster;
 use crate::support::FakeBackend;
@@ -137,3 +139,23 @@
     assert_eq!(send(&node, fence(node.instance, 2)).await.outcome(), "unknown");
     assert_eq!(send(&node, fence(InstanceId(1), 3)).await.outcome(), "unknown");
 }
+
+/// Guards against callers who are told to wait for up to a second more than the gate meant, because
+/// the time passes through a header that counts whole seconds.
+#[tokio::test]
+async fn the_time_to_come_back_keeps_its_milliseconds_between_nodes() {
+    let backend = FakeBackend::start(|_| async { text("seen") }).await;
+    let cluster = Cluster::new();
+    let node = cluster.node("one", Some(backend.address)).await;
+    until_answered(&node).await;
+    node.gate.set_drain(true);
+    let reply = send(&node, signed_call(node.instance, 1, Method::GET, "/")).await;
+    assert_eq!((reply.outcome(), reply.reason()), ("not-run", "draining"));
+    assert_eq!(reply.header("tarragon-retry-after-ms"), "1250");
+    let entry = cluster.node("entry", None).await;
+    until_routed(&entry).await;
+    // Callers get whole seconds, rounded up.
+    let reply = request(entry.caller, "GET", "/", &[], "").await;
+    assert_eq!((reply.reason(), reply.header("retry-after")), ("draining", "2"));
+    assert_eq!(reply.header("tarragon-retry-after-ms"), "");
+}
--- a/crates/datapath/tests/datapath/support/policies/fixed_limit.rs
+++ b/crates/datapath/tests/datapath/support/policies/fixed_limit.rs
@@ -39,7 +39,7 @@
 }
 
 fn refusal(reason: Reason) -> Refusal {
-    Refusal { reason, retry_after_ms: 1_000 }
+    Refusal { reason, retry_after_ms: 1_250 }
 }
 
 impl AdmissionPolicy for FixedLimit {
--- a/crates/model/src/call/headers.rs
+++ b/crates/model/src/call/headers.rs
@@ -30,5 +30,7 @@
 pub const OUTCOME: HeaderName = HeaderName::from_static("tarragon-outcome");
 /// Reason for an outcome other than `answered`.
 pub const REASON: HeaderName = HeaderName::from_static("tarragon-reason");
+/// When another try may succeed, in ms; between nodes only, since `Retry-After` counts whole seconds.
+pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("tarragon-retry-after-ms");
 /// What the answering gate currently admits; between nodes only.
 pub const ADVICE: HeaderName = HeaderName::from_static("tarragon-advice");
