--- a/crates/node/src/app/mod.rs
+++ b/crates/node/src/app/mod.rs
@@ -5,6 +5,7 @@
 mod late_gate;
 mod logging;
 mod node;
+mod parts;
 mod policies;
 mod pulled_metrics;
 mod shutdown;
--- a/crates/node/src/app/node.rs
+++ b/crates/node/src/app/node.rs
@@ -23,18 +23,12 @@
 use tarragon_control::members::MembershipServiceParts;
 use tarragon_control::replica::LogFormation;
 use tarragon_control::replica::ReplicaAddresses;
-use tarragon_control::replica::ReplicaLog;
-use tarragon_control::replica::ReplicaService;
-use tarragon_control::replica::ReplicaServiceParts;
 use tarragon_control::replica::ReplicaSupervisor;
 use tarragon_control::replica::ReplicaSupervisorParts;
 use tarragon_datapath::backend::Announcements;
 use tarragon_datapath::backend::OwnBackend;
 use tarragon_datapath::datapath::DataPath;
-use tarragon_datapath::datapath::DataPathSettings;
 use tarragon_datapath::datapath::Environment;
-use tarragon_datapath::datapath::Metrics;
-use tarragon_datapath::datapath::NoMetrics;
 use tarragon_datapath::datapath::Serving;
 use tarragon_datapath::directory::Directory;
 use tarragon_datapath::directory::DirectoryWatch;
@@ -43,8 +37,6 @@
 use tarragon_membership::MembershipSettings;
 use tarragon_model::catalogue::Catalogue;
 use tarragon_model::identity::InstanceId;
-use tarragon_model::member::BackendState;
-use tarragon_model::member::MemberRecord;
 use tarragon_wire::DeploymentKey;
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
@@ -60,12 +52,14 @@
 use crate::app::adapter::NODE_STATE;
 use crate::app::late_gate::LateGate;
 use crate::app::logging::start_logging;
+use crate::app::parts::data_path_settings;
+use crate::app::parts::metrics;
+use crate::app::parts::open_replica;
+use crate::app::parts::own_record;
 use crate::app::policies::policies;
 use crate::app::pulled_metrics::MetricsListener;
-use crate::app::pulled_metrics::MetricsPair;
 use crate::app::pulled_metrics::PulledMetrics;
 use crate::app::shutdown::StopSignals;
-use crate::app::statsd::StatsdMetrics;
 use crate::app::AppError;
 use crate::conf::Settings;
 
@@ -388,81 +382,3 @@
         }
     }
 }
-
-fn metrics(
-    settings: &Settings,
-    pulled: Option<&Arc<PulledMetrics>>,
-) -> Result<Arc<dyn Metrics>, Report<AppError>> {
-    let sent: Option<Arc<dyn Metrics>> = match settings.statsd_address {
-        Some(address) => Some(Arc::new(StatsdMetrics::open(address, &settings.node_name)?)),
-        None => None,
-    };
-    let pulled = pulled.map(|pulled| Arc::clone(pulled) as Arc<dyn Metrics>);
-    Ok(match (sent, pulled) {
-        (Some(sent), Some(pulled)) => Arc::new(MetricsPair(sent, pulled)),
-        (Some(one), None) | (None, Some(one)) => one,
-        (None, None) => Arc::new(NoMetrics),
-    })
-}
-
-fn data_path_settings(settings: &Settings) -> DataPathSettings {
-    let (listen, limits) = (&settings.listen, &settings.limits);
-    let addresses = [listen.caller_address, listen.exit_address, listen.peer_address];
-    DataPathSettings {
-        retry_tokens: limits.retry_tokens,
-        max_header_bytes: limits.max_head_bytes as usize,
-        max_caller_connections: limits.max_caller_connections as usize,
-        long_work_ms: limits.long_work_ms,
-        max_backend_connections: limits.max_backend_connections as usize,
-        heartbeat_timeout_ms: limits.heartbeat_timeout_ms,
-        backend_idle_ms: limits.backend_idle_ms,
-        ..DataPathSettings::new(
-            &settings.node_name,
-            &settings.data_centre,
-            &settings.region,
-            addresses,
-        )
-    }
-}
-
-async fn open_replica(
-    settings: &Settings,
-    addresses: &ReplicaAddresses,
-    key: &DeploymentKey,
-    refused: Refusals,
-) -> Result<Option<(ReplicaService, Arc<dyn ControlLog>)>, Report<AppError>> {
-    let (Some(data_dir), Some(replica_address)) =
-        (&settings.data_dir, settings.listen.replica_address)
-    else {
-        return Ok(None);
-    };
-    let parts = ReplicaServiceParts {
-        node_name: &settings.node_name,
-        data_dir,
-        replica_address,
-        addresses: addresses.clone(),
-        deployment_key: key.clone(),
-        refused,
-    };
-    let (service, log): (ReplicaService, ReplicaLog) =
-        ReplicaService::open(parts).await.change_context(AppError::Storage)?;
-    Ok(Some((service, Arc::new(log))))
-}
-
-fn own_record(settings: &Settings, instance: InstanceId) -> MemberRecord {
-    let (listen, advertise) = (&settings.listen, &settings.advertise);
-    MemberRecord {
-        node: settings.node_name.clone(),
-        instance,
-        data_centre: settings.data_centre.clone(),
-        region: settings.region.clone(),
-        gossip_address: advertise.gossip_address.unwrap_or(listen.gossip_address),
-        peer_address: advertise.peer_address.unwrap_or(listen.peer_address),
-        control_address: settings.control_address(),
-        replica_address: listen.replica_address.map(|a| advertise.replica_address.unwrap_or(a)),
-        service: String::new(),
-        state: BackendState::Absent,
-        version: 1,
-        revision: 0,
-    }
-}
