--- a/crates/policy/src/routing/load_router.rs
+++ b/crates/policy/src/routing/load_router.rs
@@ -186,8 +186,9 @@
 /// as its gate says, corrected by what this node has sent since. The own data centre goes first
 /// until its servers are nearly full; then the less loaded of two random servers of the region is
 /// chosen. Of two servers that are alike in load the one that is faster for the same kinds of
-/// requests is better, since long requests end within their time limit only on a fast one. A server that fails far more of its calls than
-/// its peers is avoided for a while, since quick failures would else make it look idle.
+/// requests is better, since long requests end within their time limit only on a fast one. A server
+/// that fails far more of its calls than its peers is avoided for a while, since quick failures would
+/// else make it look idle.
 pub struct LoadRouter {
     settings: LoadSettings,
     rng: Pcg32,
