Read a listener's request in one place, keep one announced length, swallow no error

Ruled out: joining the small HttpBody delegations (is_end_stream, size_hint), which are six lines each of different types. No behaviour under load changes.

--- a/crates/control/src/replica/replica_query.rs
+++ b/crates/control/src/replica/replica_query.rs
@@ -8,6 +8,7 @@
 use tarragon_wire::open;
 use tarragon_wire::Channel;
 use tarragon_wire::DeploymentKey;
+use tracing::debug;
 
 /// Time to wait for what one replica says of itself, in ms.
 const INFO_TIMEOUT_MS: u64 = 1_000;
@@ -15,8 +16,17 @@
 /// Asks a node what its replica says of itself. None without an answer or without a replica.
 pub async fn ask_replica(key: &DeploymentKey, address: SocketAddr) -> Option<ReplicaInfo> {
     let client = ControlClient::new(None, INFO_TIMEOUT_MS);
-    let reply = client.send(address, Method::GET, "/v1/replica", Bytes::new()).await.ok()?;
-    open::<Option<ReplicaInfo>>(key, Channel::Replica, &reply.body).ok()?
+    let reply = match client.send(address, Method::GET, "/v1/replica", Bytes::new()).await {
+        Ok(reply) => reply,
+        Err(report) => {
+            debug!("log: the replica at {address} does not answer: {report:?}");
+            return None;
+        }
+    };
+    open(key, Channel::Replica, &reply.body).unwrap_or_else(|e| {
+        debug!("log: the replica at {address} gave no readable answer: {e}");
+        None
+    })
 }
 
 /// What a replica says of itself.
--- a/crates/datapath/src/entry/caller_handler.rs
+++ b/crates/datapath/src/entry/caller_handler.rs
@@ -26,12 +26,10 @@
 use crate::entry::Forwarder;
 use crate::interface::CallerInterface;
 use crate::interface::Inbound;
-use crate::transport::streamed;
 use crate::transport::Body;
 use crate::transport::DecisionLog;
 use crate::transport::Failure;
 use crate::transport::Http1Handler;
-use crate::transport::ReplayBody;
 
 /// When a caller that came before the node was ready may come again, in ms.
 const NOT_READY_RETRY_MS: u64 = 500;
@@ -110,12 +108,13 @@
         &self,
         parts: Parts,
         body: Incoming,
-        inbound: Inbound,
+        mut inbound: Inbound,
     ) -> Result<Response<Body>, Failure> {
         let started = Instant::now();
         let settings = &self.forwarder.parts.settings;
         let request_id = self.forwarder.next_request_id();
-        let tokens = inbound.max_attempts.map_or(settings.retry_tokens, |most| most - 1);
+        let tokens =
+            inbound.max_attempts.map_or(settings.retry_tokens, |most| most.saturating_sub(1));
         let span = EntrySpan::open(&self.forwarder, tokens);
         let deadline = inbound.asked.unwrap_or(inbound.default_deadline);
         let context = CallContext {
@@ -124,26 +123,15 @@
             deadline_ms: crate::datapath::left_us(deadline) / 1_000,
             importance: inbound.rank,
             depth: 0,
-            key: inbound.key,
-        };
-        let body = ReplayBody::read(streamed(body), settings.keep_request_bytes);
-        let body = tokio::time::timeout_at(deadline.into(), body).await;
-        let body = body.map_err(|_| Reason::Late)?.map_err(|_| Reason::BadRequest)?;
-        let call = OutgoingCall {
-            service: inbound.service,
-            head: parts,
-            body,
-            context,
-            deadline,
-            is_idempotent: inbound.is_idempotent,
-            class: inbound.class,
-            max_attempts: inbound.max_attempts,
-            kind: inbound.kind,
-            label: inbound.label,
-            ledger_span: span.id,
+            key: inbound.key.take(),
         };
+        let revision = inbound.revision;
+        let request = (parts, body);
+        let keep_bytes = settings.keep_request_bytes;
+        let call =
+            OutgoingCall::read(request, inbound, context, deadline, span.id, keep_bytes).await?;
         let result = self.forwarder.forward(&call).await;
-        self.log_end(&call, inbound.revision, started, &result);
+        self.log_end(&call, revision, started, &result);
         result
     }
 
--- a/crates/datapath/src/entry/exit_handler.rs
+++ b/crates/datapath/src/entry/exit_handler.rs
@@ -17,12 +17,10 @@
 use crate::gate::ParentSpan;
 use crate::interface::CallerInterface;
 use crate::interface::OwnCallerInterface;
-use crate::transport::streamed;
 use crate::transport::Body;
 use crate::transport::BoundedLog;
 use crate::transport::Failure;
 use crate::transport::Http1Handler;
-use crate::transport::ReplayBody;
 
 /// Forwards the calls that the own backend server makes to other services.
 pub struct ExitHandler {
@@ -55,7 +53,7 @@
         let (mut parts, body) = request.into_parts();
         let settings = &forwarder.parts.settings;
         let catalogue = Arc::clone(&forwarder.parts.catalogue.borrow());
-        let inbound = OwnCallerInterface.read(&mut parts, &catalogue, settings)?;
+        let mut inbound = OwnCallerInterface.read(&mut parts, &catalogue, settings)?;
         drop(catalogue);
         let (context, deadline) = match &parent {
             Some((span, parent)) => {
@@ -71,7 +69,7 @@
                     deadline_ms: 0,
                     importance: parent.rank,
                     depth: parent.depth + 1,
-                    key: inbound.key,
+                    key: inbound.key.take(),
                 };
                 (context, deadline)
             }
@@ -84,7 +82,7 @@
                     deadline_ms: 0,
                     importance: inbound.lowest_rank,
                     depth: 0,
-                    key: inbound.key,
+                    key: inbound.key.take(),
                 };
                 (context, inbound.default_deadline)
             }
@@ -92,22 +90,11 @@
         // An unlinked call gets no tokens, so the bound on retries holds for its unknown tree.
         let own_span = parent.is_none().then(|| EntrySpan::open(forwarder, 0));
         let ledger_span = own_span.as_ref().map(|span| span.id).or(context.span);
-        let body = ReplayBody::read(streamed(body), settings.keep_request_bytes);
-        let body = tokio::time::timeout_at(deadline.into(), body).await;
-        let body = body.map_err(|_| Reason::Late)?.map_err(|_| Reason::BadRequest)?;
-        let call = OutgoingCall {
-            service: inbound.service,
-            head: parts,
-            body,
-            context,
-            deadline,
-            is_idempotent: inbound.is_idempotent,
-            class: inbound.class,
-            max_attempts: inbound.max_attempts,
-            kind: inbound.kind,
-            label: inbound.label,
-            ledger_span: ledger_span.expect("a call has its own span or that of its parent"),
-        };
+        let ledger_span = ledger_span.expect("a call has its own span or that of its parent");
+        let request = (parts, body);
+        let keep_bytes = settings.keep_request_bytes;
+        let call = OutgoingCall::read(request, inbound, context, deadline, ledger_span, keep_bytes)
+            .await?;
         forwarder.forward(&call).await
     }
 }
--- a/crates/datapath/src/entry/outgoing_call.rs
+++ b/crates/datapath/src/entry/outgoing_call.rs
@@ -2,12 +2,17 @@
 
 use http::request::Parts;
 use http::Request;
+use hyper::body::Incoming;
 use tarragon_model::call::CallContext;
+use tarragon_model::call::Reason;
 use tarragon_model::identity::SpanId;
 use tarragon_policy::admission::WorkClass;
 
 use crate::gate::AttemptKey;
 use crate::gate::GateCall;
+use crate::interface::Inbound;
+use crate::transport::streamed;
+use crate::transport::Failure;
 use crate::transport::ReplayBody;
 
 /// A request on its way to a gate.
@@ -31,6 +36,36 @@
 }
 
 impl OutgoingCall {
+    /// Takes over a request that a listener has read, and as much of its body as a retry needs.
+    ///
+    /// # Errors
+    /// `Late` if that body is not there by the deadline, `BadRequest` if it breaks off.
+    pub(crate) async fn read(
+        (head, body): (Parts, Incoming),
+        inbound: Inbound,
+        context: CallContext,
+        deadline: Instant,
+        ledger_span: SpanId,
+        keep_request_bytes: u64,
+    ) -> Result<Self, Failure> {
+        let body = ReplayBody::read(streamed(body), keep_request_bytes);
+        let body = tokio::time::timeout_at(deadline.into(), body).await;
+        let body = body.map_err(|_| Reason::Late)?.map_err(|_| Reason::BadRequest)?;
+        Ok(Self {
+            service: inbound.service,
+            head,
+            body,
+            context,
+            deadline,
+            is_idempotent: inbound.is_idempotent,
+            class: inbound.class,
+            max_attempts: inbound.max_attempts,
+            kind: inbound.kind,
+            label: inbound.label,
+            ledger_span,
+        })
+    }
+
     /// The call as one attempt carries it.
     pub(crate) fn attempt(&self, attempt: u64, tokens: u32) -> GateCall {
         GateCall {
--- a/crates/datapath/src/gate/answer_body.rs
+++ b/crates/datapath/src/gate/answer_body.rs
@@ -35,22 +35,21 @@
     pub(crate) whole_end: RunEnd,
     /// Whether bytes after the announced length leave the answer itself intact.
     pub(crate) allows_surplus: bool,
-    /// Announced length of the answer, if there is one.
-    pub(crate) length_bytes: Option<u64>,
 }
 
 impl Execution {
-    fn complete(mut self) {
+    /// Ends a whole answer; its connection is used again if nothing followed the announced length.
+    fn complete(mut self, length_bytes: Option<u64>) {
         self.slot.set_end(self.whole_end);
         self.span.end();
-        if self.is_upload_done.load(Ordering::Acquire) && !self.has_surplus() {
+        if self.is_upload_done.load(Ordering::Acquire) && !self.has_surplus(length_bytes) {
             self.lease.give_back();
         }
     }
 
     /// Whether more bytes arrived than the answer announced.
-    fn has_surplus(&self) -> bool {
-        self.length_bytes.is_some_and(|length| self.lease.body_bytes() > length)
+    fn has_surplus(&self, length_bytes: Option<u64>) -> bool {
+        length_bytes.is_some_and(|length| self.lease.body_bytes() > length)
     }
 
     fn fail(mut self) {
@@ -80,7 +79,7 @@
     pub(crate) fn new(incoming: Incoming, execution: Execution, deadline: Instant) -> Self {
         let length_bytes = incoming.size_hint().exact();
         if incoming.is_end_stream() {
-            execution.complete();
+            execution.complete(length_bytes);
             let execution = Arc::default();
             return Self::build(incoming, execution, true, length_bytes, deadline);
         }
@@ -111,7 +110,7 @@
             let execution = self.lock().take();
             self.is_whole = execution.is_some();
             if let Some(execution) = execution {
-                execution.complete();
+                execution.complete(self.length_bytes);
             }
         }
         self.is_whole
@@ -127,7 +126,7 @@
 
     /// Whether bytes after the announced length make the answer doubtful.
     fn is_too_long(&self) -> bool {
-        self.lock().as_ref().is_some_and(|e| !e.allows_surplus && e.has_surplus())
+        self.lock().as_ref().is_some_and(|e| !e.allows_surplus && e.has_surplus(self.length_bytes))
     }
 
     fn is_past_deadline(&mut self, cx: &mut Context<'_>) -> bool {
--- a/crates/datapath/src/gate/gate_shell.rs
+++ b/crates/datapath/src/gate/gate_shell.rs
@@ -296,10 +296,8 @@
                         slot.set_end(RunEnd::Failed);
                         return Err(Reason::BadAnswer.into());
                     }
-                    let length_bytes = response.body().size_hint().exact();
                     let execution = Execution {
                         lease,
-                        length_bytes,
                         slot,
                         span,
                         is_upload_done,
--- a/crates/datapath/src/interface/backend_interface.rs
+++ b/crates/datapath/src/interface/backend_interface.rs
@@ -5,7 +5,6 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use tarragon_model::call::CallContext;
-use tarragon_model::call::Reason;
 
 /// What a request to the backend server is about.
 #[derive(Debug, Clone, Copy)]
@@ -53,14 +52,3 @@
     /// used again either way.
     fn allows_surplus(&self) -> bool;
 }
-
-impl AnswerVerdict {
-    /// Why there is no answer for the caller; none if there is one.
-    pub fn reason(self) -> Option<Reason> {
-        match self {
-            Self::Own => None,
-            Self::NotRun { .. } => Some(Reason::Rejected),
-            Self::Foreign => Some(Reason::BadAnswer),
-        }
-    }
-}
