--- a/crates/datapath/tests/datapath/main.rs
+++ b/crates/datapath/tests/datapath/main.rs
@@ -10,4 +10,5 @@
 mod keys;
 mod lost;
 mod peers;
+mod routed;
 mod support;
--- /dev/null
+++ b/crates/datapath/tests/datapath/routed.rs
@@ -0,0 +1,229 @@
+//! Requests that the routes of a whole configuration decide about, with headers of a platform.
+
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderValue;
+use tarragon_datapath::datapath::Serving;
+use tarragon_model::configuration::CallerLimits;
+use tarragon_model::configuration::Configuration;
+use tarragon_model::configuration::RepeatRule;
+use tarragon_model::configuration::Route;
+use tarragon_model::configuration::ServiceLimits;
+use tarragon_model::configuration::Target;
+
+use crate::support::open_backend;
+use crate::support::raw_backend;
+use crate::support::request;
+use crate::support::text;
+use crate::support::Cluster;
+use crate::support::FakeBackend;
+use crate::support::Node;
+use crate::support::Reply;
+use crate::support::TestBackendInterface;
+use crate::support::TestCallerInterface;
+
+const HEADERS: [(&str, &str); 2] = [("x-host", "orchard.example"), ("x-id", "7")];
+
+fn route(path_prefix: &str, repeat: RepeatRule, max_attempts: u32, time_limit_ms: u64) -> Route {
+    Route {
+        name: path_prefix.trim_matches('/').into(),
+        host: "orchard.example".into(),
+        path_prefix: path_prefix.into(),
+        repeat,
+        time_limit_ms,
+        objective_ms: 1_000,
+        rank: 0,
+        max_attempts,
+        targets: vec![Target { service: "counter".into(), weight: 1 }],
+    }
+}
+
+fn cluster() -> Cluster {
+    let routes = vec![
+        route("/one/", RepeatRule::Idempotent, 1, 20_000),
+        route("/two/", RepeatRule::Idempotent, 2, 20_000),
+        route("/once/", RepeatRule::AtMostOnce, 2, 20_000),
+        route("/brief/", RepeatRule::Idempotent, 1, 200),
+    ];
+    let services = vec![ServiceLimits { name: "counter".into(), max_connections: 10 }];
+    let limits = CallerLimits {
+        max_header_bytes: 16_384,
+        max_body_bytes: 1_000,
+        header_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+    };
+    let mut cluster = Cluster::new();
+    cluster.caller_interface = Arc::new(TestCallerInterface::default());
+    cluster.backend_interface = Arc::new(TestBackendInterface);
+    cluster.configure(&Configuration::new((1, 0), routes, services, limits, String::new()));
+    cluster
+}
+
+async fn send(node: &Node, path: &str) -> Reply {
+    request(node.caller, "POST", path, &HEADERS, "12 kg").await
+}
+
+/// Waits until the node knows a server, whatever the server says.
+async fn until_routed(node: &Node) {
+    for _ in 0..1_000 {
+        if send(node, "/one/ready").await.reason() != "no-server" {
+            return;
+        }
+        tokio::task::yield_now().await;
+    }
+    panic!("the node knows no server");
+}
+
+async fn answering() -> FakeBackend {
+    FakeBackend::start(|request| async move {
+        let mut response = text("weighed");
+        let id = request.headers().get("x-id").cloned();
+        response.headers_mut().insert("x-id", id.unwrap_or(HeaderValue::from_static("none")));
+        response
+    })
+    .await
+}
+
+/// A backend server that runs nothing and says so.
+async fn rejecting() -> FakeBackend {
+    FakeBackend::start(|_| async {
+        let mut response = text("full");
+        *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
+        response.headers_mut().insert("x-not-run", HeaderValue::from_static("1"));
+        response
+    })
+    .await
+}
+
+/// Guards against more backend servers for one request than its route allows, and against a
+/// rejection that is reported as anything but not run.
+#[tokio::test]
+async fn a_rejected_request_reaches_no_more_servers_than_its_route_allows() {
+    let backend = rejecting().await;
+    let cluster = cluster();
+    for name in ["first", "second", "third", "fourth"] {
+        cluster.node(name, Some(backend.address)).await;
+    }
+    let entry = cluster.node("entry", None).await;
+    until_routed(&entry).await;
+    for (path, most) in [("/one/7", 1), ("/two/7", 2), ("/once/7", 2)] {
+        let before = backend.count();
+        let reply = send(&entry, path).await;
+        assert_eq!((reply.outcome(), reply.reason()), ("not-run", "rejected"), "{path}");
+        assert_eq!(backend.count() - before, most, "{path}");
+    }
+}
+
+/// Guards against a refusal while another server has room: gates that refuse before their server
+/// sees the request cost none of its attempts.
+#[tokio::test]
+async fn gates_that_refuse_cost_no_attempt() {
+    let backend = answering().await;
+    let cluster = cluster();
+    for name in ["first", "second"] {
+        cluster.node(name, Some(backend.address)).await.gate.set_drain(true);
+    }
+    cluster.node("third", Some(backend.address)).await;
+    let entry = cluster.node("entry", None).await;
+    until_routed(&entry).await;
+    for _ in 0..5 {
+        assert_eq!(send(&entry, "/one/7").await.status.as_u16(), 200);
+    }
+}
+
+/// Guards against a second run of a request that may not be repeated, after its answer was lost.
+#[tokio::test]
+async fn a_request_that_may_have_run_is_not_sent_again() {
+    let runs = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&runs);
+    let lost = FakeBackend::start(move |_| {
+        counted.fetch_add(1, Ordering::SeqCst);
+        async { text("an answer that names no request") }
+    })
+    .await;
+    let cluster = cluster();
+    cluster.node("first", Some(lost.address)).await;
+    cluster.node("second", Some(lost.address)).await;
+    let entry = cluster.node("entry", None).await;
+    until_routed(&entry).await;
+    let before = runs.load(Ordering::SeqCst);
+    let reply = send(&entry, "/once/7").await;
+    assert_eq!((reply.status.as_u16(), reply.reason()), (502, "bad-answer"));
+    assert_eq!(runs.load(Ordering::SeqCst) - before, 1);
+}
+
+/// Guards against an answer to another request that arrives where the own one is expected.
+#[tokio::test]
+async fn an_answer_to_another_request_reaches_no_caller() {
+    const FOREIGN: &[u8] = b"HTTP/1.1 200 OK\r\nX-Id: 8\r\nContent-Length: 5\r\n\r\nother";
+    let cluster = cluster();
+    let node = cluster.node("one", Some(open_backend(FOREIGN).await)).await;
+    until_routed(&node).await;
+    let reply = send(&node, "/once/7").await;
+    assert_eq!((reply.status.as_u16(), reply.reason()), (502, "bad-answer"));
+}
+
+/// Guards against whole answers that are thrown away because they have no length, or because other
+/// bytes follow them.
+#[tokio::test]
+async fn answers_without_a_length_or_with_bytes_behind_them_are_delivered() {
+    const UNFRAMED: &[u8] = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\nweighed";
+    const SURPLUS: &[u8] =
+        b"HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 7\r\n\r\nweighedHTTP/1.1 200 OK\r\n";
+    for backend in [raw_backend(UNFRAMED).await, open_backend(SURPLUS).await] {
+        let cluster = cluster();
+        let node = cluster.node("one", Some(backend)).await;
+        until_routed(&node).await;
+        for _ in 0..3 {
+            let reply = send(&node, "/once/7").await;
+            assert_eq!(reply.status.as_u16(), 200);
+            assert_eq!(reply.body.as_deref(), Ok(&b"weighed"[..]));
+        }
+    }
+}
+
+/// Guards against a caller that is kept waiting beyond the time limit of its route.
+#[tokio::test]
+async fn the_time_limit_of_a_route_ends_the_wait() {
+    let backend = FakeBackend::start(|_| async {
+        tokio::time::sleep(Duration::from_secs(3_600)).await;
+        text("too late")
+    })
+    .await;
+    let cluster = cluster();
+    let node = cluster.node("one", Some(backend.address)).await;
+    let reply = send(&node, "/brief/7").await;
+    assert_eq!((reply.status.as_u16(), reply.reason()), (504, "deadline-passed"));
+}
+
+#[tokio::test]
+async fn what_the_configuration_does_not_allow_is_refused_and_does_not_run() {
+    let backend = answering().await;
+    let cluster = cluster();
+    let node = cluster.node("one", Some(backend.address)).await;
+    until_routed(&node).await;
+    let before = backend.count();
+    assert_eq!(send(&node, "/unknown/7").await.status.as_u16(), 404);
+    let large = "x".repeat(1_001);
+    let reply = request(node.caller, "POST", "/one/7", &HEADERS, large).await;
+    assert_eq!(reply.status.as_u16(), 413);
+    assert_eq!(backend.count(), before);
+}
+
+/// Guards against work under an outdated configuration in the first moments of a node.
+#[tokio::test]
+async fn a_node_that_is_not_ready_refuses_until_it_serves() {
+    let backend = answering().await;
+    let cluster = cluster();
+    cluster.serving.send_replace(Serving::NotYet);
+    let node = cluster.node("one", Some(backend.address)).await;
+    let reply = send(&node, "/one/7").await;
+    assert_eq!((reply.status.as_u16(), reply.reason()), (503, "not-ready"));
+    assert!(!reply.header("retry-after").is_empty());
+    assert_eq!(backend.count(), 0);
+    cluster.serving.send_replace(Serving::Yes);
+    assert_eq!(send(&node, "/one/7").await.status.as_u16(), 200);
+}
--- a/crates/datapath/tests/datapath/support/cluster.rs
+++ b/crates/datapath/tests/datapath/support/cluster.rs
@@ -18,12 +18,16 @@
 use tarragon_datapath::datapath::Serving;
 use tarragon_datapath::directory::DirectoryWatch;
 use tarragon_datapath::gate::GateHandle;
+use tarragon_datapath::interface::BackendInterface;
+use tarragon_datapath::interface::CallerInterface;
 use tarragon_datapath::interface::OwnBackendInterface;
 use tarragon_datapath::interface::OwnCallerInterface;
 use tarragon_kernel::Kernel;
 use tarragon_kernel::KernelError;
 use tarragon_model::catalogue::Catalogue;
 use tarragon_model::catalogue::SubmitAnswer;
+use tarragon_model::configuration::Configuration;
+use tarragon_model::configuration::ConfigureAnswer;
 use tarragon_model::identity::InstanceId;
 use tarragon_model::member::BackendState;
 use tarragon_model::member::MemberRecord;
@@ -114,6 +118,10 @@
     pub settings: DataPathSettings,
     /// Requests that each gate runs at once.
     pub limit: usize,
+    pub caller_interface: Arc<dyn CallerInterface>,
+    pub backend_interface: Arc<dyn BackendInterface>,
+    /// Whether the nodes serve callers.
+    pub serving: watch::Sender<Serving>,
     /// Instance of the next node; nodes started earlier are preferred when all else is equal.
     next_instance: AtomicU64,
 }
@@ -144,6 +152,13 @@
 }
 
 impl Cluster {
+    /// Puts a whole configuration in force at all nodes.
+    pub fn configure(&self, configuration: &Configuration) {
+        let mut catalogue = Catalogue::clone(&self.catalogue.borrow());
+        assert_eq!(catalogue.configure(configuration), ConfigureAnswer::Accepted);
+        self.catalogue.send_replace(Arc::new(catalogue));
+    }
+
     pub fn new() -> Self {
         let mut catalogue = Catalogue::default();
         let note = ReleaseNote::from_json(NOTE).unwrap();
@@ -159,6 +174,9 @@
             claims: Arc::default(),
             settings,
             limit: 1_000,
+            caller_interface: Arc::new(OwnCallerInterface),
+            backend_interface: Arc::new(OwnBackendInterface),
+            serving: watch::Sender::new(Serving::Yes),
             next_instance: AtomicU64::new(rand::random::<u64>() >> 8 << 8),
         }
     }
@@ -197,9 +215,9 @@
             backend: Arc::new(TestBackend(status.subscribe())),
             claims: Arc::clone(&self.claims) as Arc<dyn KeyClaims>,
             metrics: Arc::clone(&metrics) as Arc<dyn Metrics>,
-            caller_interface: Arc::new(OwnCallerInterface),
-            backend_interface: Arc::new(OwnBackendInterface),
-            serving: watch::channel(Serving::Yes).1,
+            caller_interface: Arc::clone(&self.caller_interface),
+            backend_interface: Arc::clone(&self.backend_interface),
+            serving: self.serving.subscribe(),
         };
         let policies = Policies {
             admission: Box::new(FixedLimit::new(self.limit, 100)),
--- a/crates/datapath/tests/datapath/support/mod.rs
+++ b/crates/datapath/tests/datapath/support/mod.rs
@@ -3,6 +3,7 @@
 mod client;
 mod cluster;
 mod fake_backend;
+mod headers;
 mod policies;
 mod relay;
 
@@ -15,4 +16,6 @@
 pub use fake_backend::raw_backend;
 pub use fake_backend::text;
 pub use fake_backend::FakeBackend;
+pub use headers::TestBackendInterface;
+pub use headers::TestCallerInterface;
 pub use relay::Relay;
