--- a/crates/datapath/src/transport/decision_log.rs
+++ b/crates/datapath/src/transport/decision_log.rs
@@ -30,7 +30,10 @@
 
     /// Allows a line, or counts it as left out. A line tells how many were left out before it.
     pub(crate) fn admit(&self) -> Option<u64> {
-        let now_us = self.clock.now_us();
+        self.admit_at(self.clock.now_us())
+    }
+
+    fn admit_at(&self, now_us: u64) -> Option<u64> {
         let mut state = self.state.lock().expect("no holder of the lock panics");
         let passed_s = now_us.saturating_sub(state.filled_us) as f64 / 1e6;
         state.lines = (state.lines + passed_s * self.lines_per_s).min(BURST_LINES);
@@ -43,3 +46,6 @@
         Some(std::mem::take(&mut state.unlogged))
     }
 }
+
+#[cfg(test)]
+mod tests;
