Strengthen two tests that passed without their mechanism

Cause: of 37 trials with one mechanism switched off each, two broke no test: the removal of a wiped replica's former self, and the comparison of a server's failures with its peers. Change: the replacement test refuses a second voter of a name, as the log does; a new router test has servers that fail 40% and 25% of their calls.

--- a/crates/control/src/replica/replacement/tests.rs
+++ b/crates/control/src/replica/replacement/tests.rs
@@ -51,6 +51,8 @@
                 }
             }
             MemberChange::Promote(id) => {
+                let has_former = configuration.voters.iter().any(|voter| voter.name == id.name);
+                assert!(!has_former, "the log refuses a second voter of the name {}", id.name);
                 configuration.learners.remove(id);
                 configuration.voters.insert(id.clone());
             }
--- a/crates/policy/src/routing/load_router/tests.rs
+++ b/crates/policy/src/routing/load_router/tests.rs
@@ -129,6 +129,24 @@
     assert!(first > 100 && second > 100, "{first} against {second}");
 }
 
+/// Guards against servers that are avoided in turn because their calls fail for a cause behind them:
+/// a share of failures counts only as far as it exceeds that of the peers.
+#[test]
+fn a_server_that_fails_little_more_than_its_peers_is_used() {
+    let mut router = router(&[candidate(1, Distance::Local), candidate(2, Distance::Local)]);
+    for at in 0..100 {
+        // 40% of the calls of the first server fail, and 25% of those of the second.
+        for (id, is_failed) in [(1, matches!(at % 5, 0 | 2)), (2, at % 4 == 0)] {
+            let end = if is_failed { CallEnd::Errored } else { CallEnd::Answered };
+            router.started(SERVICE, InstanceId(id), 0);
+            let result = CallResult { latency_us: MS, end, kind: 0 };
+            router.finished(SERVICE, InstanceId(id), &result, 0);
+        }
+    }
+    let [_, first, second, _] = shares(&mut router, 10 * MS);
+    assert!(first > 100 && second > 100, "{first} against {second}");
+}
+
 #[test]
 fn excluded_draining_and_suspect_servers_come_last_or_never() {
     let draining = Candidate { state: BackendState::Draining, ..candidate(3, Distance::Local) };
