--- a/crates/consensus/tests/replica/directed.rs
+++ b/crates/consensus/tests/replica/directed.rs
@@ -3,7 +3,10 @@
 use tarragon_consensus::protocol::Body;
 use tarragon_consensus::protocol::Configuration;
 use tarragon_consensus::protocol::DiskId;
+use tarragon_consensus::protocol::Entry;
+use tarragon_consensus::protocol::HardState;
 use tarragon_consensus::protocol::Message;
+use tarragon_consensus::protocol::Payload;
 use tarragon_consensus::protocol::ReplicaId;
 use tarragon_consensus::raft::Answer;
 use tarragon_consensus::raft::Event;
@@ -11,6 +14,7 @@
 use tarragon_consensus::raft::Recovered;
 use tarragon_consensus::raft::Refusal;
 use tarragon_consensus::raft::Replica;
+use tarragon_consensus::raft::RoleKind;
 use tarragon_consensus::raft::Settings;
 use tarragon_consensus::raft::Status;
 use tarragon_consensus::raft::Switches;
@@ -332,6 +336,50 @@
     assert!(!replica.step(Event::Receive(message), 0).is_empty(), "its own log is followed");
 }
 
+/// Time at which a replica that recovered a log of three voters first asks for pre-votes, in ms. It
+/// hears a leader at the given times.
+fn first_campaign_ms(seed: u64, heard_ms: &[u64]) -> u64 {
+    let voters = ["a", "b", "c"].map(|name| ReplicaId::new(name, DiskId(1)));
+    let members = Configuration::of_voters(voters.clone());
+    let log_id = members.log_id();
+    let entry = Entry { term: 1, index: 1, payload: Payload::Members(members) };
+    let hard_state = HardState { term: 1, voted_for: None, log_id };
+    let recovered = Recovered { hard_state, snapshot: None, entries: vec![entry] };
+    let [own, leader, _] = voters;
+    let mut replica = Replica::new(own.clone(), Settings::default(), recovered, seed, 0);
+    for now_ms in 0..10_000 {
+        if heard_ms.contains(&now_ms) {
+            let body = Body::Append {
+                prev_index: 1,
+                prev_term: 1,
+                entries: vec![],
+                commit_index: 1,
+                round: 0,
+            };
+            let (from, to) = (leader.clone(), own.clone());
+            replica.step(Event::Receive(Message { from, to, log_id, term: 2, body }), now_ms);
+        }
+        replica.step(Event::Tick, now_ms);
+        if replica.status().role == RoleKind::PreCandidate {
+            return now_ms;
+        }
+    }
+    panic!("the replica never stands for election");
+}
+
+/// Guards against a second without a leader after a loss of power of all hosts, and against a
+/// replica that loses patience with a leader that it has heard.
+#[test]
+fn a_replica_without_a_leader_stands_soon_after_its_start_and_late_after_it_heard_one() {
+    let settings = Settings::default();
+    for seed in 0..20 {
+        let at_start_ms = first_campaign_ms(seed, &[]);
+        assert!(at_start_ms < 2 * settings.start_election_ms, "after {at_start_ms} ms");
+        let after_leader_ms = first_campaign_ms(seed, &[50]) - 50;
+        assert!(after_leader_ms >= settings.election_ms, "after {after_leader_ms} ms");
+    }
+}
+
 /// Guards against a cluster that stands still because the only replica whose log is complete
 /// enough to be elected holds an uncommitted entry that removes it.
 #[test]
--- a/crates/consensus/tests/replica/sim.rs
+++ b/crates/consensus/tests/replica/sim.rs
@@ -63,6 +63,9 @@
     Settings {
         heartbeat_ms: 20,
         election_ms: ELECTION_MS,
+        // In the proportions of the defaults.
+        start_election_ms: ELECTION_MS * 15 / 100,
+        start_ms: ELECTION_MS * 3,
         batch_bytes: 120,
         window_entries: 6,
         chunk_bytes: 150,
