--- a/crates/node/src/app/policies.rs
+++ b/crates/node/src/app/policies.rs
@@ -3,6 +3,8 @@
 use tarragon_policy::admission::AdaptiveAdmission;
 use tarragon_policy::admission::AdmissionPolicy;
 use tarragon_policy::admission::AdmissionSettings;
+use tarragon_policy::admission::FailureThrottle;
+use tarragon_policy::admission::FailureThrottleSettings;
 use tarragon_policy::admission::SlotAdmission;
 use tarragon_policy::admission::SlotSettings;
 use tarragon_policy::once::KeyTable;
@@ -47,5 +49,6 @@
         retry: Box::new(TokenLedger::new(retry)),
         once: Box::new(KeyTable::new(instance, once)),
         throttle: CallerThrottle::new(ThrottleSettings::default()),
+        failures: FailureThrottle::new(FailureThrottleSettings::default()),
     }
 }
