Serve the backend server of a stopping node until others are told; avoid late peers sooner

Its nodes are restarted in turn, and a stopping node refused work for its healthy backend server for 2.5 s, which only callers need to leave. When a data centre was cut off, nodes sent requests there until the connection's time limit of 1.5 s. A peer whose heartbeat is 0.3 s late is suspect: others are preferred, calls in flight keep the connection. Answers prove a connection, so no heartbeat is sent beside them. Test first: other_servers_are_preferred_while_a_peer_is_late (waits for ever for a suspicion without the change). Ruled out: a shorter time limit of the connection, which loses calls in flight that may have run.

--- a/crates/datapath/src/datapath/settings.rs
+++ b/crates/datapath/src/datapath/settings.rs
@@ -45,6 +45,8 @@
     pub heartbeat_interval_ms: u64,
     /// Time after which an unanswered connection to a peer is replaced, in ms.
     pub heartbeat_timeout_ms: u64,
+    /// Time without an answer to a heartbeat after which other servers are preferred, in ms.
+    pub suspect_after_ms: u64,
     /// Time after which an unused connection to a peer is closed, in ms.
     pub peer_idle_ms: u64,
     /// Wait beyond the deadline for the answer of a gate, which ends the call itself, in ms.
@@ -97,6 +99,7 @@
             reconnect_interval_ms: 100,
             heartbeat_interval_ms: 500,
             heartbeat_timeout_ms: 1_500,
+            suspect_after_ms: 300,
             peer_idle_ms: 60_000,
             answer_grace_ms: 50,
             fence_timeout_ms: 2_000,
--- a/crates/datapath/src/peer/link.rs
+++ b/crates/datapath/src/peer/link.rs
@@ -1,11 +1,14 @@
+use std::pin::pin;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use tarragon_policy::admission::AdmissionAdvice;
 use tarragon_policy::routing::PeerState;
 use tokio::sync::watch;
+use tokio::time::error::Elapsed;
 use tracing::debug;
 use tracing::info;
 
@@ -168,23 +171,27 @@
     /// Sends heartbeats until the connection is lost, unused or to be closed.
     async fn keep(&self, channel: &Arc<Channel>, peer: &Peer, shared: &PeerShared) -> WatchEnd {
         let interval = Duration::from_millis(shared.settings.heartbeat_interval_ms);
-        let limit = Duration::from_millis(shared.settings.heartbeat_timeout_ms);
         loop {
             tokio::select! {
                 () = shared.stop.cancelled() => return WatchEnd::Stopped,
                 () = channel.lost.cancelled() => return WatchEnd::Lost,
-                () = tokio::time::sleep(interval) => {}
+                () = tokio::time::sleep(interval / 2) => {}
             }
             // The task and the status hold the channel; anything beyond is a call in flight.
             let is_over = peer.removed.is_cancelled() || self.is_unused(shared);
             if is_over && Arc::strong_count(channel) <= 2 {
                 return WatchEnd::Unused;
             }
+            // Answers to calls prove the connection as well as a heartbeat does. Calls in flight need to
+            // know sooner.
+            let is_idle = Arc::strong_count(channel) <= 2;
+            if channel.is_proven_within(if is_idle { interval } else { interval / 2 }) {
+                continue;
+            }
             let sent_us = shared.clock.now_us();
-            let heartbeat = tokio::time::timeout(limit, channel.heartbeat(&shared.auth));
             let answer = tokio::select! {
                 () = shared.stop.cancelled() => return WatchEnd::Stopped,
-                answer = heartbeat => answer,
+                answer = self.heartbeat(channel, peer, shared) => answer,
             };
             match answer {
                 Ok(Ok(advice)) => {
@@ -196,9 +203,35 @@
                     return WatchEnd::Lost;
                 }
                 // Other answers on the connection prove it as well as the heartbeat does.
-                Err(_) if channel.proof_us() > sent_us => {}
+                Err(_) if channel.proof_us() > sent_us => {
+                    shared.set_state(peer.instance, PeerState::Proven);
+                }
                 Err(_) => return WatchEnd::Lost,
             }
         }
     }
+
+    /// Sends a heartbeat. While its answer is late, other servers are preferred, but the calls in flight
+    /// keep the connection until the time limit: what is lost with it may have run.
+    async fn heartbeat(
+        &self,
+        channel: &Channel,
+        peer: &Peer,
+        shared: &PeerShared,
+    ) -> Result<Result<AdmissionAdvice, String>, Elapsed> {
+        let settings = &shared.settings;
+        let limit = Duration::from_millis(settings.heartbeat_timeout_ms);
+        let sent_us = shared.clock.now_us();
+        let mut heartbeat = pin!(tokio::time::timeout(limit, channel.heartbeat(&shared.auth)));
+        tokio::select! {
+            answer = &mut heartbeat => return answer,
+            () = tokio::time::sleep(Duration::from_millis(settings.suspect_after_ms)) => {}
+        }
+        if channel.proof_us() <= sent_us {
+            debug!("route: {} is late with an answer", peer.instance);
+            shared.metrics.count("route.suspected", 1);
+            shared.set_state(peer.instance, PeerState::Suspect);
+        }
+        heartbeat.await
+    }
 }
--- a/crates/datapath/tests/datapath/lost.rs
+++ b/crates/datapath/tests/datapath/lost.rs
@@ -98,6 +98,35 @@
     assert_eq!(reply.outcome(), "answered", "the connection was not replaced");
 }
 
+/// Guards against requests that go on to a peer which has fallen silent, until the time limit of its
+/// connection: others are preferred as soon as a heartbeat is late, and the connection stays.
+#[tokio::test]
+async fn other_servers_are_preferred_while_a_peer_is_late() {
+    let silent = FakeBackend::start(|_| async { text("silent") }).await;
+    let other = FakeBackend::start(|_| async { text("other") }).await;
+    let mut cluster = impatient();
+    cluster.settings.heartbeat_timeout_ms = 600_000;
+    cluster.settings.suspect_after_ms = 50;
+    let (_silent_node, relay) = relayed(&cluster, &silent).await;
+    let entry = cluster.node("entry", None).await;
+    until_answered(&entry).await;
+    relay.silence();
+    while entry.metrics.read("route.suspected") == 0 {
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    let _other_node = cluster.node("other", Some(other.address)).await;
+    let short = [("tarragon-deadline-ms", "200")];
+    while other.count() == 0 {
+        // Until the entry knows the other node it has only the silent one.
+        request(entry.caller, "GET", "/", &short, "").await;
+    }
+    for _ in 0..20 {
+        let reply = request(entry.caller, "GET", "/", &short, "").await;
+        assert_eq!((reply.outcome(), reply.text().as_str()), ("answered", "other"));
+    }
+    assert_eq!(entry.metrics.read("route.connection_lost"), 0);
+}
+
 /// Guards against a request that reaches a later life of the node it was addressed to.
 #[tokio::test]
 async fn a_restarted_node_runs_nothing_that_was_meant_for_its_earlier_life() {
--- a/crates/node/src/app/node.rs
+++ b/crates/node/src/app/node.rs
@@ -272,7 +272,9 @@
     ) -> Result<(), Report<AppError>> {
         let settings = data_path_settings(&self.settings);
         let policies = policies(&self.settings, self.environment.instance);
-        let notice = Duration::from_millis(self.settings.limits.drain_notice_ms);
+        let limits = &self.settings.limits;
+        let notice = Duration::from_millis(limits.drain_notice_ms);
+        let gate_notice = notice.min(Duration::from_millis(limits.gate_notice_ms));
         let data_path = DataPath::bind(settings, self.environment.clone(), policies)
             .await
             .change_context(AppError::Bind("data path"))?;
@@ -292,9 +294,11 @@
             }
             info!("drain: stop requested");
             self.serving.send_replace(Serving::Ending);
+            // Callers take longer to leave than other nodes. Until these have to be told, the backend
+            // server goes on serving them, since it does not stop with the node.
+            tokio::time::sleep(notice - gate_notice).await;
             self.announcements.set_drain(true);
-            // Other nodes and callers learn of the drain before the listeners close.
-            tokio::time::sleep(notice).await;
+            tokio::time::sleep(gate_notice).await;
             data_path.gate().idle().await;
             info!("drain: no request is in progress");
             data_stop.cancel();
