Soak real daemons with random faults from outside

Cause: nothing ran the real programs under faults that overlap and come in series; each process test plays one. Change: a seeded schedule of kills, stops, pauses, silenced links and reset connections, clients that record what they are told, checks from callers' and backend servers' view. The relays of the process tests can reset connections.

--- a/crates/tarragond/tests/processes/main.rs
+++ b/crates/tarragond/tests/processes/main.rs
@@ -11,4 +11,5 @@
 mod paused_leader;
 mod plain_nodes;
 mod refusals;
+mod soak;
 mod support;
--- a/crates/tarragond/tests/processes/support/backend.rs
+++ b/crates/tarragond/tests/processes/support/backend.rs
@@ -25,9 +25,13 @@
 /// Time between two announcements.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Run time of a path that contains `slow`, long enough for faults to meet it.
+const SLOW_RUN: Duration = Duration::from_millis(50);
+
 /// Fake backend server that announces itself to a node, counts its runs and can hold them.
 ///
-/// A path that contains `held` is answered only when the test lets it go.
+/// A path that contains `held` is answered only when the test lets it go, and one that contains `slow`
+/// after a while.
 pub struct Backend {
     pub name: String,
     state: Arc<State>,
@@ -61,6 +65,11 @@
         self.state.runs.lock().unwrap().iter().filter(|run| *run == path).count()
     }
 
+    /// Paths of all runs so far.
+    pub fn paths(&self) -> Vec<String> {
+        self.state.runs.lock().unwrap().clone()
+    }
+
     /// Lets all runs of a held path go.
     pub fn release(&self, path: &str) {
         self.state.released.send_modify(|released| {
@@ -90,6 +99,9 @@
         let mut released = state.released.subscribe();
         released.wait_for(|released| released.contains(&path)).await.unwrap();
     }
+    if path.contains("slow") {
+        tokio::time::sleep(SLOW_RUN).await;
+    }
     Ok(Response::new(Full::from(format!("{} ran {path}", state.name))))
 }
 
--- a/crates/tarragond/tests/processes/support/caller.rs
+++ b/crates/tarragond/tests/processes/support/caller.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use http::Request;
 use http_body_util::BodyExt;
@@ -38,6 +40,14 @@
     /// # Errors
     /// No connection, or no whole answer.
     pub async fn send(&self, node: &Daemon) -> Result<Reply, String> {
+        self.send_to(node.at.caller).await
+    }
+
+    /// Sends the call to the address of an entry.
+    ///
+    /// # Errors
+    /// No connection, or no whole answer.
+    pub async fn send_to(&self, entry: SocketAddr) -> Result<Reply, String> {
         let mut request = Request::builder().method(self.method).uri(&self.path);
         request = request.header("host", "counter.test");
         if let Some(key) = &self.key {
@@ -45,7 +55,7 @@
         }
         let request = request.body(Full::<Bytes>::default()).unwrap();
         let text = |e: &dyn std::error::Error| e.to_string();
-        let stream = TcpStream::connect(node.at.caller).await.map_err(|e| text(&e))?;
+        let stream = TcpStream::connect(entry).await.map_err(|e| text(&e))?;
         let (mut sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|e| text(&e))?;
         let exchange = async {
--- a/crates/tarragond/tests/processes/support/network.rs
+++ b/crates/tarragond/tests/processes/support/network.rs
@@ -7,11 +7,12 @@
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::tcp::ReadHalf;
+use tokio::net::tcp::WriteHalf;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
+use tokio::sync::broadcast;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
@@ -22,6 +23,9 @@
 /// Largest datagram that is relayed.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
 
+/// Resets that a connection may lag behind.
+const MAX_RESETS: usize = 16;
+
 /// Relays between nodes, which can silently cut some nodes off from the others.
 ///
 /// While nodes are cut off, datagrams between the two sides are dropped. Connections stay open and
@@ -35,6 +39,8 @@
 struct Shared {
     /// Nodes that are cut off from all others, but not from each other.
     cut_off: watch::Sender<HashSet<String>>,
+    /// Node whose connections are reset, each time that one is sent.
+    resets: broadcast::Sender<String>,
     pids: Mutex<HashMap<String, u32>>,
     /// Relay socket of each node by the node's own address; a datagram leaves from the socket of
     /// its sender, so that an answer takes the way back through the relays.
@@ -54,7 +60,8 @@
             gossip.insert(at.gossip, (name.to_string(), socket));
         }
         let (cut_off, pids) = (watch::Sender::default(), Mutex::default());
-        let shared = Arc::new(Shared { cut_off, pids, gossip });
+        let resets = broadcast::Sender::new(MAX_RESETS);
+        let shared = Arc::new(Shared { cut_off, resets, pids, gossip });
         let mut tasks = JoinSet::new();
         for (name, told, at) in routes {
             tasks.spawn(relay_datagrams(Arc::clone(&shared), at.gossip));
@@ -79,6 +86,12 @@
         self.shared.cut_off.send_replace(HashSet::new());
     }
 
+    /// Resets the connections between a node and all others.
+    pub fn reset(&self, name: &str) {
+        // Without open connections nobody listens.
+        let _ = self.shared.resets.send(name.into());
+    }
+
     /// Learns the processes of the nodes, by which the senders of streams are told apart.
     pub fn learn(&self, cluster: &Cluster) {
         let pids = cluster.running().map(|node| (node.name.clone(), node.pid()));
@@ -149,22 +162,41 @@
 
 async fn relay_stream(
     shared: Arc<Shared>,
-    stream: TcpStream,
+    mut stream: TcpStream,
     (sender, receiver): (String, String),
     to: SocketAddr,
 ) {
     shared.until_open(&sender, &receiver).await;
-    let Ok(target) = TcpStream::connect(to).await else { return };
-    let (stream_in, stream_out) = stream.into_split();
-    let (target_in, target_out) = target.into_split();
-    tokio::join!(
-        pump(&shared, (&sender, stream_in), (&receiver, target_out)),
-        pump(&shared, (&receiver, target_in), (&sender, stream_out)),
-    );
+    let Ok(mut target) = TcpStream::connect(to).await else { return };
+    let mut resets = shared.resets.subscribe();
+    let reset = async {
+        loop {
+            match resets.recv().await {
+                Ok(name) if name != sender && name != receiver => {}
+                _ => return,
+            }
+        }
+    };
+    let both = async {
+        let (stream_in, stream_out) = stream.split();
+        let (target_in, target_out) = target.split();
+        tokio::join!(
+            pump(&shared, (&sender, stream_in), (&receiver, target_out)),
+            pump(&shared, (&receiver, target_in), (&sender, stream_out)),
+        )
+    };
+    tokio::select! {
+        _ = both => {}
+        () = reset => {
+            // Without lingering, closing a socket resets its connection.
+            let _ = stream.set_zero_linger();
+            let _ = target.set_zero_linger();
+        }
+    }
 }
 
 /// Carries one direction of a stream; it pauses while the two nodes are cut off from each other.
-async fn pump(shared: &Shared, from: (&str, OwnedReadHalf), to: (&str, OwnedWriteHalf)) {
+async fn pump(shared: &Shared, from: (&str, ReadHalf<'_>), to: (&str, WriteHalf<'_>)) {
     let ((sender, mut input), (receiver, mut output)) = (from, to);
     let mut buffer = vec![0; 16 << 10];
     while let Ok(length) = input.read(&mut buffer).await {
@@ -173,4 +205,5 @@
             break;
         }
     }
+    let _ = output.shutdown().await;
 }
