Soak: one-way and slow links, operators that race during the faults

Cause: the soak submitted a note only after the faults, and its links failed in both directions at once. Change: links can be unheard one way or delayed; two operators race for versions and send notes again after lost answers; accepted notes must be listed under their versions, refused ones must not be there.

--- a/crates/tarragond/tests/processes/soak/checks.rs
+++ b/crates/tarragond/tests/processes/soak/checks.rs
@@ -1,6 +1,7 @@
 use std::collections::HashMap;
 
 use crate::soak::clients::Told;
+use crate::soak::operators::Notes;
 use crate::soak::schedule::Plan;
 
 /// What went against the promises to callers, given the runs of each path at all backend servers.
@@ -28,3 +29,12 @@
     }
     found
 }
+
+/// What went against the promises to operators, given the list of notes afterwards, by version.
+pub fn note_violations(notes: &Notes, listed: &[String]) -> Vec<String> {
+    let at = |version: u64| listed.get(version as usize - 1);
+    let lost = notes.accepted.iter().filter(|(version, id)| at(*version) != Some(id));
+    let lost = lost.map(|note| format!("an accepted note is gone: {note:?}"));
+    let revived = notes.refused.iter().filter(|(_, id)| listed.contains(id));
+    lost.chain(revived.map(|note| format!("a refused note is in force: {note:?}"))).collect()
+}
--- a/crates/tarragond/tests/processes/soak/mod.rs
+++ b/crates/tarragond/tests/processes/soak/mod.rs
@@ -3,6 +3,7 @@
 
 mod checks;
 mod clients;
+mod operators;
 mod schedule;
 
 use std::collections::HashMap;
@@ -22,12 +23,15 @@
 use crate::support::Backend;
 use crate::support::Call;
 use crate::support::Cluster;
+use crate::support::LinkFaults;
 use crate::support::Network;
 
 const NODES: [&str; 6] = ["replica-1", "replica-2", "replica-3", "plain-1", "plain-2", "plain-3"];
 
 const CLIENTS: u64 = 8;
 
+const OPERATORS: u64 = 2;
+
 /// Length of the faults of a seed, in ms.
 const FAULTS_MS: u64 = 8_000;
 
@@ -49,7 +53,7 @@
 struct Soak {
     cluster: Cluster,
     network: Network,
-    silenced: Vec<&'static str>,
+    faults: LinkFaults,
 }
 
 impl Soak {
@@ -66,13 +70,17 @@
             }
             Step::Pause => self.cluster[name].signal(Signal::STOP),
             Step::Resume => self.cluster[name].signal(Signal::CONT),
-            Step::Silence => self.silenced.push(name),
-            Step::Heal => self.silenced.retain(|silenced| *silenced != name),
+            Step::Silence => drop(self.faults.cut_off.insert(name.into())),
+            Step::Mute => drop(self.faults.unheard.insert(name.into())),
+            Step::Delay => drop(self.faults.delayed.insert(name.into())),
+            Step::Heal => {
+                self.faults.cut_off.remove(name);
+                self.faults.unheard.remove(name);
+                self.faults.delayed.remove(name);
+            }
             Step::Reset => self.network.reset(name),
         }
-        if matches!(step, Step::Silence | Step::Heal) {
-            self.network.cut_off(&self.silenced);
-        }
+        self.network.set_faults(self.faults.clone());
     }
 
     /// Takes the steps of a seed at their times; a stop that takes long delays the later ones.
@@ -105,7 +113,14 @@
         let (told, stop) = (Arc::clone(&told), stop.clone());
         clients.spawn(clients::run_client(number, seed, entries.clone(), told, stop));
     }
-    let mut soak = Soak { cluster, network, silenced: Vec::new() };
+    let notes: Arc<Mutex<operators::Notes>> = Arc::default();
+    let controls: Vec<_> = cluster.nodes.iter().map(|node| node.at.control).collect();
+    for number in 0..OPERATORS {
+        let (operator, controls) = (cluster.operator.clone(), controls.clone());
+        let (notes, stop) = (Arc::clone(&notes), stop.clone());
+        clients.spawn(operators::run_operator(number, seed, operator, controls, notes, stop));
+    }
+    let mut soak = Soak { cluster, network, faults: LinkFaults::default() };
     soak.play(seed, plan).await;
     stop.cancel();
     clients.join_all().await;
@@ -115,20 +130,31 @@
         until(&format!("{} serves again", node.name), async || is_answered(node.at.caller).await)
             .await;
     }
-    cluster.operator.accept(&cluster.nodes[0], &next_note("after the faults", 2)).await;
-    cluster.until_in_force(2).await;
+    let listed = until("the list of notes", async || {
+        let list = cluster.operator.notes(&cluster.nodes[0]).await?;
+        Some(list.notes.into_iter().map(|note| note.id).collect::<Vec<String>>())
+    })
+    .await;
+    let last = listed.len() as u64 + 1;
+    cluster.operator.accept(&cluster.nodes[0], &next_note("after the faults", last)).await;
+    cluster.until_in_force(last).await;
     let mut runs: HashMap<String, usize> = HashMap::new();
     for path in backends.iter().flat_map(Backend::paths) {
         *runs.entry(path).or_default() += 1;
     }
     let told: Vec<clients::Told> = told.lock().unwrap().clone();
     let is_told = |told: &&clients::Told| told.answers.iter().any(Option::is_some);
+    let notes = notes.lock().unwrap().clone();
     println!(
-        "seed {seed}: {plan:?}, {} of {} requests told",
+        "seed {seed}: {plan:?}, {} of {} requests told, {} notes accepted, {} refused",
         told.iter().filter(is_told).count(),
-        told.len()
+        told.len(),
+        notes.accepted.len(),
+        notes.refused.len()
     );
-    checks::violations(&told, &runs, plan)
+    let mut found = checks::violations(&told, &runs, plan);
+    found.extend(checks::note_violations(&notes, &listed));
+    found
 }
 
 async fn is_answered(entry: std::net::SocketAddr) -> Option<()> {
--- a/crates/tarragond/tests/processes/soak/schedule.rs
+++ b/crates/tarragond/tests/processes/soak/schedule.rs
@@ -19,7 +19,11 @@
     Resume,
     /// Drops what other nodes and this one send to each other; connections stay open.
     Silence,
-    /// Ends [`Self::Silence`].
+    /// Drops what the node sends, while it hears the others.
+    Mute,
+    /// Delays what the node sends and gets.
+    Delay,
+    /// Ends what is wrong with the node's links.
     Heal,
     /// Resets the connections that reach the node from others.
     Reset,
@@ -54,11 +58,13 @@
             continue;
         }
         let end_ms = now_ms + rng.random_range(FAULT_MS.0..FAULT_MS.1);
-        let (begin, end) = match rng.random_range(0..6) {
+        let (begin, end) = match rng.random_range(0..8) {
             0 | 1 => (Step::Kill, Step::Start),
             2 => (Step::Stop, Step::Start),
             3 => (Step::Pause, Step::Resume),
             4 => (Step::Silence, Step::Heal),
+            5 => (Step::Mute, Step::Heal),
+            6 => (Step::Delay, Step::Heal),
             _ => (Step::Reset, Step::Reset),
         };
         // One fault at a time for each node, but any number of nodes at once.
--- a/crates/tarragond/tests/processes/support/mod.rs
+++ b/crates/tarragond/tests/processes/support/mod.rs
@@ -16,6 +16,7 @@
 pub use caller::Call;
 pub use cluster::Cluster;
 pub use daemon::Daemon;
+pub use network::LinkFaults;
 pub use network::Network;
 pub use notes::first_note;
 pub use notes::next_note;
--- a/crates/tarragond/tests/processes/support/network.rs
+++ b/crates/tarragond/tests/processes/support/network.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -23,6 +24,9 @@
 /// Largest datagram that is relayed.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
 
+/// By how much a piece of a delayed stream arrives late.
+const LINK_DELAY: Duration = Duration::from_millis(100);
+
 /// Resets that a connection may lag behind.
 const MAX_RESETS: usize = 16;
 
@@ -36,9 +40,25 @@
     _tasks: JoinSet<()>,
 }
 
-struct Shared {
+/// What is wrong with the links of nodes.
+#[derive(Debug, Clone, Default)]
+pub struct LinkFaults {
     /// Nodes that are cut off from all others, but not from each other.
-    cut_off: watch::Sender<HashSet<String>>,
+    pub cut_off: HashSet<String>,
+    /// Nodes of which nothing arrives, though they hear the others.
+    pub unheard: HashSet<String>,
+    /// Nodes whose streams arrive late.
+    pub delayed: HashSet<String>,
+}
+
+impl LinkFaults {
+    fn is_open(&self, from: &str, to: &str) -> bool {
+        self.cut_off.contains(from) == self.cut_off.contains(to) && !self.unheard.contains(from)
+    }
+}
+
+struct Shared {
+    faults: watch::Sender<LinkFaults>,
     /// Node whose connections are reset, each time that one is sent.
     resets: broadcast::Sender<String>,
     pids: Mutex<HashMap<String, u32>>,
@@ -59,9 +79,9 @@
             let socket = until("the relay of datagrams is bound", bound).await;
             gossip.insert(at.gossip, (name.to_string(), socket));
         }
-        let (cut_off, pids) = (watch::Sender::default(), Mutex::default());
+        let (faults, pids) = (watch::Sender::default(), Mutex::default());
         let resets = broadcast::Sender::new(MAX_RESETS);
-        let shared = Arc::new(Shared { cut_off, resets, pids, gossip });
+        let shared = Arc::new(Shared { faults, resets, pids, gossip });
         let mut tasks = JoinSet::new();
         for (name, told, at) in routes {
             tasks.spawn(relay_datagrams(Arc::clone(&shared), at.gossip));
@@ -78,12 +98,18 @@
 
     /// Cuts nodes off from all others.
     pub fn cut_off(&self, names: &[&str]) {
-        self.shared.cut_off.send_replace(names.iter().map(ToString::to_string).collect());
+        let cut_off = names.iter().map(ToString::to_string).collect();
+        self.set_faults(LinkFaults { cut_off, ..LinkFaults::default() });
+    }
+
+    /// Replaces what is wrong with the links.
+    pub fn set_faults(&self, faults: LinkFaults) {
+        self.shared.faults.send_replace(faults);
     }
 
     /// Lets everything through again.
     pub fn heal(&self) {
-        self.shared.cut_off.send_replace(HashSet::new());
+        self.set_faults(LinkFaults::default());
     }
 
     /// Resets the connections between a node and all others.
@@ -100,14 +126,16 @@
 }
 
 impl Shared {
-    fn is_open(cut_off: &HashSet<String>, from: &str, to: &str) -> bool {
-        cut_off.contains(from) == cut_off.contains(to)
-    }
-
     async fn until_open(&self, from: &str, to: &str) {
-        let mut cut_off = self.cut_off.subscribe();
-        let opened = cut_off.wait_for(|cut_off| Self::is_open(cut_off, from, to)).await;
-        opened.expect("the sender is kept");
+        let mut faults = self.faults.subscribe();
+        let is_delayed = {
+            let opened = faults.wait_for(|faults| faults.is_open(from, to)).await;
+            let faults = opened.expect("the sender is kept");
+            faults.delayed.contains(from) || faults.delayed.contains(to)
+        };
+        if is_delayed {
+            tokio::time::sleep(LINK_DELAY).await;
+        }
     }
 
     /// Node whose process opened the connection between two addresses. All connections come from
@@ -143,7 +171,7 @@
     loop {
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
         let Some((sender, out)) = shared.gossip.get(&from) else { continue };
-        let is_open = Shared::is_open(&shared.cut_off.borrow(), sender, name);
+        let is_open = shared.faults.borrow().is_open(sender, name);
         if is_open {
             let _ = out.send_to(&buffer[..length], to).await;
         }
--- a/crates/tarragond/tests/processes/support/operator.rs
+++ b/crates/tarragond/tests/processes/support/operator.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use http::Method;
 use serde::de::DeserializeOwned;
@@ -105,7 +107,14 @@
 
     /// Submits a note once; none without an answer or with a server error.
     pub async fn submit(&self, node: &Daemon, note: &Value) -> Option<SubmitAnswer> {
-        parse(&self.send(node, Method::POST, "/v1/notes", note).await?)
+        self.submit_to(node.at.control, note).await
+    }
+
+    /// The same at the address of a node's control API.
+    pub async fn submit_to(&self, control: SocketAddr, note: &Value) -> Option<SubmitAnswer> {
+        let body = Bytes::from(note.to_string());
+        let reply = self.client.send(control, Method::POST, "/v1/notes", body).await.ok()?;
+        parse(&reply)
     }
 
     /// Submits a note, again after every lost answer, until it is accepted.
