--- a/crates/datapath/src/peer/link.rs
+++ b/crates/datapath/src/peer/link.rs
@@ -228,7 +228,12 @@
             () = tokio::time::sleep(Duration::from_millis(settings.suspect_after_ms)) => {}
         }
         if channel.proof_us() <= sent_us {
-            debug!("route: {} is late with an answer", peer.instance);
+            info!(
+                peer = %peer.instance,
+                address = %peer.address,
+                waited_ms = settings.suspect_after_ms,
+                "route: a heartbeat is late, other servers are preferred"
+            );
             shared.metrics.count("route.suspected", 1);
             shared.set_state(peer.instance, PeerState::Suspect);
         }
