Stop within a second of the last request though a peer is frozen

Its log shows the entry and the exit ended, the peer listener not: a graceful end of an HTTP/2 connection waits for the peer's acknowledgement, and two peers were paused. Change: after the last request at the gate a peer has one second to close its connection, then it is dropped. Ruled out: requests in progress ('no request is in progress' is logged before); entry and exit (both ended).

--- a/crates/datapath/src/peer/peer_server.rs
+++ b/crates/datapath/src/peer/peer_server.rs
@@ -33,6 +33,7 @@
 use tokio_util::task::task_tracker::TaskTrackerToken;
 use tokio_util::task::TaskTracker;
 use tracing::debug;
+use tracing::info;
 
 use crate::gate::AttemptKey;
 use crate::gate::Gate;
@@ -55,6 +56,10 @@
 use crate::transport::Failure;
 use crate::transport::TrackedExecutor;
 
+/// Time that a peer has to close its connection after the last request here has ended. A frozen peer
+/// never does, and a stopping node must not wait for it.
+const CLOSE_LIMIT: Duration = Duration::from_secs(1);
+
 /// Takes calls, heartbeats and fences from other nodes.
 pub struct PeerServer {
     address: SocketAddr,
@@ -94,6 +99,7 @@
     async fn serve(
         self: Arc<Self>,
         stream: TcpStream,
+        from: SocketAddr,
         tracker: TaskTracker,
         stop: CancellationToken,
     ) {
@@ -119,7 +125,17 @@
             result = connection.as_mut() => result,
             () = stop.cancelled() => {
                 connection.as_mut().graceful_shutdown();
-                connection.await
+                let overdue = async {
+                    self.gate.spans.idle().await;
+                    tokio::time::sleep(CLOSE_LIMIT).await;
+                };
+                tokio::select! {
+                    result = connection => result,
+                    () = overdue => {
+                        info!(%from, "gate: a peer does not close its connection, it is dropped");
+                        return;
+                    }
+                }
             }
         };
         if let Err(e) = result {
@@ -260,7 +276,8 @@
         let listener = self.listener.lock().expect("no holder of the lock panics").take();
         let listener =
             listener.ok_or_else(|| Report::new(KernelError::ServiceFailed("peer".into())))?;
-        let serve = |stream, _, tracker| Arc::clone(&self).serve(stream, tracker, stop.clone());
+        let serve =
+            |stream, from, tracker| Arc::clone(&self).serve(stream, from, tracker, stop.clone());
         accept_connections(listener, usize::MAX, &stop, serve).await;
         drop(self.active.lock().expect("no holder of the lock panics").take());
         Ok(())
--- a/crates/datapath/tests/datapath/lost.rs
+++ b/crates/datapath/tests/datapath/lost.rs
@@ -127,6 +127,21 @@
     assert_eq!(entry.metrics.read("route.connection_lost"), 0);
 }
 
+/// Guards against a node that cannot stop because a peer is frozen and never closes its connection.
+#[tokio::test]
+async fn a_node_stops_while_a_peer_answers_nothing() {
+    let backend = FakeBackend::start(|_| async { text("seen") }).await;
+    let mut cluster = impatient();
+    // The entry keeps the silent connection, as a frozen process would.
+    cluster.settings.heartbeat_timeout_ms = 600_000;
+    let (owner, relay) = relayed(&cluster, &backend).await;
+    let entry = cluster.node("entry", None).await;
+    until_answered(&entry).await;
+    relay.silence();
+    let stopped = tokio::time::timeout(std::time::Duration::from_secs(20), owner.stop()).await;
+    assert!(stopped.is_ok(), "the node waits for a peer that answers nothing");
+}
+
 /// Guards against a request that reaches a later life of the node it was addressed to.
 #[tokio::test]
 async fn a_restarted_node_runs_nothing_that_was_meant_for_its_earlier_life() {
--- a/crates/tarragond/tests/processes/soak/mod.rs
+++ b/crates/tarragond/tests/processes/soak/mod.rs
@@ -38,8 +38,9 @@
 /// One seed in this many has planned stops only.
 const PLANNED_STOPS_EVERY: u64 = 4;
 
-/// Seeds of the run in CI. Those that ever failed stay here, with a line on the cause.
-const CI_SEEDS: [u64; 4] = [1, 2, 3, 4];
+/// Seeds of the run in CI. Those that ever failed stay here: 27 (a stopping node waited for a frozen peer;
+/// `a_node_stops_while_a_peer_answers_nothing`).
+const CI_SEEDS: [u64; 5] = [1, 2, 3, 4, 27];
 
 /// Seeds to run instead, as `FIRST..END`.
 const SEEDS_VARIABLE: &str = "TARRAGON_SOAK_SEEDS";
