--- a/crates/policy/src/admission/kind_limits.rs
+++ b/crates/policy/src/admission/kind_limits.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 
-/// Settings of [`KindLimits`].
+/// Settings of the bounds on kinds of requests whose calls are refused.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct KindLimitSettings {
     /// Share of the runs of a kind that may end with a refused call before fewer of them start.
--- a/crates/policy/src/admission/slot_admission.rs
+++ b/crates/policy/src/admission/slot_admission.rs
@@ -90,7 +90,7 @@
 /// are the limit. Requests wait at the gate by rank, because the server's own queue knows no ranks,
 /// and a request whose wait would leave too little time to run is refused on arrival, with the
 /// predicted wait as the time to come back. Kinds whose own calls are refused elsewhere are held back
-/// by [`KindLimits`].
+/// at their own gate, see `docs/overload.md`.
 #[derive(Debug)]
 pub struct SlotAdmission {
     settings: SlotSettings,
