--- a/crates/policy/tests/chains.rs
+++ b/crates/policy/tests/chains.rs
@@ -400,6 +400,17 @@
     }
 }
 
+/// Guards the goodput of chains at ten times the capacity (docs/design.md, section 1.2: 90%).
+#[test]
+fn chains_are_completed_at_ten_times_the_capacity() {
+    for middle_slots in [99, 200, 300] {
+        let policies = Policies { middle_slots, ..policies() };
+        let at_capacity = mean_of_plays(policies, 1.0);
+        let shares = mean_of_plays(policies, 10.0);
+        assert!(shares.chains >= 0.9 * at_capacity.chains, "{middle_slots} slots: {shares:?}");
+    }
+}
+
 /// Shows the collapse that the bounds prevent: less than a quarter is served.
 #[test]
 fn chains_collapse_without_the_bounds() {
