Refuse callers once the notice of a stop is over; serve only the calls of the last runs

The caller listener stays open until the gate is idle, because the backend server's own calls come through it on the platform, and one long run kept the gate from being idle. Change: after the notice a node refuses requests that cannot be calls of its own runs (a call expires with the run that makes it), as not-run, draining. Callers of the project's own interface are asked to close their connection too, as the state always said. Test first: a_node_whose_last_runs_end_serves_their_calls_alone (the late request was answered, and without the header). Ruled out: closing the listener at the end of the notice, which would cut the calls of runs in progress.

--- a/crates/datapath/src/datapath/serving.rs
+++ b/crates/datapath/src/datapath/serving.rs
@@ -8,4 +8,7 @@
     Yes,
     /// It serves, and asks callers to go to another node.
     Ending,
+    /// Callers have had the time to go. It serves the calls that its backend server makes until its
+    /// last run has ended.
+    CallsOnly,
 }
--- a/crates/datapath/src/entry/caller_handler.rs
+++ b/crates/datapath/src/entry/caller_handler.rs
@@ -91,6 +91,10 @@
         let catalogue = Arc::clone(&self.forwarder.parts.catalogue.borrow());
         let inbound = self.interface.read(&mut parts, &catalogue, settings)?;
         drop(catalogue);
+        if *self.serving.borrow() == Serving::CallsOnly && !self.may_be_server_call(&inbound) {
+            // The caller was asked to go before, and other nodes serve it at once.
+            return Err(before_owner(Reason::Draining.into(), is_keyed));
+        }
         if body.size_hint().lower() > inbound.max_body_bytes {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             return Err(Failure::with_status(Reason::BadRequest, status));
@@ -147,6 +151,11 @@
         result
     }
 
+    /// Whether a request may be a call of the own backend server.
+    fn may_be_server_call(&self, inbound: &Inbound) -> bool {
+        inbound.caller_deadline.is_some_and(|at| self.forwarder.parts.gate.may_call(at))
+    }
+
     /// Tells how a request ended and by what it was decided.
     fn log_end(
         &self,
@@ -200,7 +209,7 @@
         if let Err(failure) = &result {
             debug!("entry: {outcome}: {}", failure.reason);
         }
-        let is_closing = *self.serving.borrow() == Serving::Ending;
+        let is_closing = matches!(*self.serving.borrow(), Serving::Ending | Serving::CallsOnly);
         self.interface.answer(result, is_closing)
     }
 }
--- a/crates/datapath/src/interface/own_caller_interface.rs
+++ b/crates/datapath/src/interface/own_caller_interface.rs
@@ -2,6 +2,7 @@
 use std::time::Instant;
 
 use http::header::AUTHORIZATION;
+use http::header::CONNECTION;
 use http::header::HOST;
 use http::request::Parts;
 use http::HeaderMap;
@@ -98,15 +99,19 @@
         true
     }
 
-    fn answer(&self, result: Result<Response<Body>, Failure>, _is_closing: bool) -> Response<Body> {
-        match result {
+    fn answer(&self, result: Result<Response<Body>, Failure>, is_closing: bool) -> Response<Body> {
+        let mut response = match result {
             Ok(mut response) => {
                 let value = HeaderValue::from_static(Outcome::Answered.as_str());
                 response.headers_mut().insert(headers::OUTCOME, value);
                 response
             }
             Err(failure) => failure.into_response(),
+        };
+        if is_closing {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        response
     }
 }
 
--- a/crates/datapath/tests/datapath/keys.rs
+++ b/crates/datapath/tests/datapath/keys.rs
@@ -52,6 +52,33 @@
     assert_eq!((reply.outcome(), reply.reason()), ("not-run", "not-ready"));
 }
 
+/// Guards against a node that takes requests until it is killed, because a long run at its gate keeps it
+/// from ending: they would be cut. The calls of that run are still served.
+#[tokio::test]
+async fn a_node_whose_last_runs_end_serves_their_calls_alone() {
+    let (backend, started, permits) = held().await;
+    let cluster = Cluster::new();
+    let node = cluster.node("leaving", Some(backend.address)).await;
+    until_answered(&node).await;
+    let deadline = |ms| [("tarragon-deadline-ms", ms)];
+    let long = deadline("30000");
+    let running = request(node.caller, "POST", "/weigh", &long, "12 kg");
+    let meanwhile = async {
+        started.notified().await;
+        cluster.serving.send_replace(Serving::CallsOnly);
+        let before = backend.count();
+        let late = request(node.caller, "GET", "/", &deadline("60000"), "").await;
+        assert_eq!((late.outcome(), late.reason()), ("not-run", "draining"));
+        assert_eq!(late.header("connection"), "close");
+        assert_eq!(backend.count(), before);
+        let call = request(node.caller, "GET", "/", &deadline("5000"), "").await;
+        assert_eq!(call.outcome(), "answered");
+        permits.add_permits(1);
+    };
+    let (reply, ()) = tokio::join!(running, meanwhile);
+    assert_eq!(reply.outcome(), "answered", "the run itself is cut");
+}
+
 /// Guards against a second run of a key, during and after the first one, through another entry.
 #[tokio::test]
 async fn repeats_of_a_key_get_the_answer_of_its_one_run() {
--- a/crates/node/src/app/node.rs
+++ b/crates/node/src/app/node.rs
@@ -299,6 +299,8 @@
             tokio::time::sleep(notice - gate_notice).await;
             self.announcements.set_drain(true);
             tokio::time::sleep(gate_notice).await;
+            // What came in from now on could outlast the time that the process is given to end.
+            self.serving.send_replace(Serving::CallsOnly);
             data_path.gate().idle().await;
             info!("drain: no request is in progress");
             data_stop.cancel();
