Keep what a gate knows of its backend server's calls in one type; split the gate's shell

Change: ServerCalls holds the refusals, the repeat share and that question; the entry answers it once and the forwarder records refusals for the entry and the exit alike.

--- a/crates/datapath/src/entry/caller_handler.rs
+++ b/crates/datapath/src/entry/caller_handler.rs
@@ -120,7 +120,7 @@
     ) -> Result<Response<Body>, Failure> {
         let started = Instant::now();
         let settings = &self.forwarder.parts.settings;
-        let caller_deadline = inbound.caller_deadline;
+        let may_be_server_call = self.may_be_server_call(&inbound);
         let is_keyed = inbound.key.is_some();
         let request_id = self.forwarder.next_request_id();
         let tokens =
@@ -140,20 +140,18 @@
         let keep_bytes = settings.keep_request_bytes;
         let call =
             OutgoingCall::read(request, inbound, context, deadline, span.id, keep_bytes).await;
-        let call = call.map_err(|failure| before_owner(failure, is_keyed))?;
+        let mut call = call.map_err(|failure| before_owner(failure, is_keyed))?;
+        call.may_be_server_call = may_be_server_call;
         let result = self.forwarder.forward(&call).await;
         self.log_end(&call, revision, started, &result);
-        if let (Err(failure), Some(at)) = (&result, caller_deadline) {
-            if matches!(failure.reason, Reason::Shed | Reason::Late) {
-                self.forwarder.parts.gate.record_refused_request(at);
-            }
-        }
         result
     }
 
     /// Whether a request may be a call of the own backend server.
     fn may_be_server_call(&self, inbound: &Inbound) -> bool {
-        inbound.caller_deadline.is_some_and(|at| self.forwarder.parts.gate.may_call(at))
+        inbound
+            .caller_deadline
+            .is_some_and(|at| self.forwarder.parts.gate.server_calls.may_include(at))
     }
 
     /// Tells how a request ended and by what it was decided.
--- a/crates/datapath/src/entry/exit_handler.rs
+++ b/crates/datapath/src/entry/exit_handler.rs
@@ -93,8 +93,10 @@
         let ledger_span = ledger_span.expect("a call has its own span or that of its parent");
         let request = (parts, body);
         let keep_bytes = settings.keep_request_bytes;
-        let call = OutgoingCall::read(request, inbound, context, deadline, ledger_span, keep_bytes)
-            .await?;
+        let mut call =
+            OutgoingCall::read(request, inbound, context, deadline, ledger_span, keep_bytes)
+                .await?;
+        call.may_be_server_call = true;
         forwarder.forward(&call).await
     }
 }
--- a/crates/datapath/src/entry/forwarder.rs
+++ b/crates/datapath/src/entry/forwarder.rs
@@ -102,24 +102,18 @@
 
     /// Forwards a call until there is an answer or nothing more may be tried.
     pub(crate) async fn forward(&self, call: &OutgoingCall) -> Result<Response<Body>, Failure> {
-        let repeat_share = self.inherited_repeat_share(call);
+        let calls = &self.parts.gate.server_calls;
+        let repeat_share = if call.may_be_server_call { calls.repeat_share() } else { 0.0 };
         self.retry().attempted(&call.service, repeat_share, self.parts.clock.now_us());
-        match &call.context.key {
+        let result = match &call.context.key {
             Some(key) => self.forward_keyed(call, key, repeat_share).await,
             None => self.forward_plain(call, repeat_share).await,
+        };
+        let is_overload = matches!(&result, Err(failure) if failure.reason.is_overload());
+        if call.may_be_server_call && is_overload {
+            calls.record_refusal();
         }
-    }
-
-    /// Probability that the call was made by a run that repeats an earlier one.
-    fn inherited_repeat_share(&self, call: &OutgoingCall) -> f64 {
-        let gate = &self.parts.gate;
-        let may_be_server_call =
-            call.context.span.is_some() || call.caller_deadline.is_some_and(|at| gate.may_call(at));
-        if may_be_server_call {
-            gate.repeat_share()
-        } else {
-            0.0
-        }
+        result
     }
 
     async fn forward_plain(
--- a/crates/datapath/src/entry/outgoing_call.rs
+++ b/crates/datapath/src/entry/outgoing_call.rs
@@ -31,8 +31,8 @@
     pub(crate) kind: u32,
     /// Identifier that the caller gave it, for logs.
     pub(crate) label: String,
-    /// When the caller itself stops waiting, if it says so.
-    pub(crate) caller_deadline: Option<Instant>,
+    /// Whether the own backend server may have made it while it runs another request.
+    pub(crate) may_be_server_call: bool,
     /// Holder of the retry tokens at this node.
     pub(crate) ledger_span: SpanId,
 }
@@ -64,7 +64,7 @@
             max_attempts: inbound.max_attempts,
             kind: inbound.kind,
             label: inbound.label,
-            caller_deadline: inbound.caller_deadline,
+            may_be_server_call: false,
             ledger_span,
         })
     }
--- a/crates/datapath/src/gate/gate_shell.rs
+++ b/crates/datapath/src/gate/gate_shell.rs
@@ -2,7 +2,6 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -25,7 +24,6 @@
 use tarragon_policy::admission::RunEnd;
 use tarragon_policy::admission::WorkClass;
 use tarragon_policy::once::OncePolicy;
-use tarragon_policy::retry::RepeatShare;
 use tarragon_policy::retry::RetryPolicy;
 use tarragon_wire::DeploymentKey;
 use tokio::sync::watch;
@@ -45,10 +43,11 @@
 use crate::gate::backend_pool::BackendPool;
 use crate::gate::backend_pool::Lease;
 use crate::gate::backend_pool::Sent;
-use crate::gate::call_refusals::CallRefusals;
 use crate::gate::desk::Desk;
 use crate::gate::desk::Slot;
 use crate::gate::keys::Keys;
+use crate::gate::ledger_span::LedgerSpan;
+use crate::gate::server_calls::ServerCalls;
 use crate::gate::spans::SpanGuard;
 use crate::gate::spans::Spans;
 use crate::gate::AttemptKey;
@@ -67,10 +66,6 @@
 /// Tries on pooled connections that turn out to be closed before a byte was written.
 const MAX_STALE_CONNECTIONS: usize = 4;
 
-/// By how much the deadline of a call may exceed that of the run that makes it: both are passed on in
-/// whole ms and read a little later.
-const CALL_DEADLINE_SLACK: Duration = Duration::from_millis(5);
-
 /// Most log lines about requests without an answer, a second.
 const FAILURE_LINES_PER_S: u32 = 30;
 
@@ -106,15 +101,14 @@
     pub(crate) keys: Arc<Keys>,
     pub(crate) attempts: Attempts,
     pub(crate) spans: Arc<Spans>,
+    pub(crate) server_calls: ServerCalls,
     pub(crate) pool: Arc<BackendPool>,
     pub(crate) tracker: TaskTracker,
     pub(crate) metrics: Arc<dyn Metrics>,
     pub(crate) status: watch::Receiver<BackendStatus>,
-    retry: Arc<Mutex<Box<dyn RetryPolicy>>>,
+    pub(crate) retry: Arc<Mutex<Box<dyn RetryPolicy>>>,
     catalogue: watch::Receiver<Arc<Catalogue>>,
     interface: Arc<dyn BackendInterface>,
-    call_refusals: CallRefusals,
-    repeats: Mutex<RepeatShare>,
     failures: DecisionLog,
 }
 
@@ -124,6 +118,7 @@
         let GateParts { settings, clock, admission, once, retry, status, .. } = parts;
         let GateParts { catalogue, key, metrics, interface, .. } = parts;
         let tracker = TaskTracker::new();
+        let spans = Arc::<Spans>::default();
         let pool = BackendPool::new(
             settings.max_backend_connections,
             Duration::from_millis(settings.backend_idle_ms),
@@ -134,7 +129,8 @@
             desk: Arc::new(Desk::new(admission, clock)),
             keys: Arc::new(Keys::new(once, clock, key)),
             attempts: Attempts::new(settings.max_attempts),
-            spans: Arc::default(),
+            server_calls: ServerCalls::new(clock, Arc::clone(&spans)),
+            spans,
             pool: Arc::new(pool),
             settings,
             clock,
@@ -144,8 +140,6 @@
             retry,
             catalogue,
             interface,
-            call_refusals: CallRefusals::default(),
-            repeats: Mutex::default(),
             failures: DecisionLog::new(clock, FAILURE_LINES_PER_S),
         }
     }
@@ -284,7 +278,7 @@
             if !is_started {
                 self.start(attempt, deadline)?;
                 span.set_running();
-                self.repeats().record(repeat_share, self.clock.now_us());
+                self.server_calls.record_run(repeat_share);
                 is_started = true;
             }
             match lease.send(request, deadline).await {
@@ -329,7 +323,7 @@
     fn end_of(&self, status: StatusCode) -> RunEnd {
         match status {
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => RunEnd::Rejected,
-            _ if self.call_refusals.explains(status, self.clock.now_us()) => {
+            _ if self.server_calls.explain(status) => {
                 self.metrics.count("gate.call_refused", 1);
                 RunEnd::CallRefused
             }
@@ -337,29 +331,6 @@
         }
     }
 
-    /// Whether a request that entered at this node may be a call of the own backend server. One that
-    /// may wait longer than every run is not: a call expires with the run that makes it.
-    pub(crate) fn may_call(&self, caller_deadline: Instant) -> bool {
-        let latest = caller_deadline.checked_sub(CALL_DEADLINE_SLACK).unwrap_or(caller_deadline);
-        self.spans.any_runs_until(latest)
-    }
-
-    /// Records that a request which entered at this node was refused for overload.
-    pub(crate) fn record_refused_request(&self, caller_deadline: Instant) {
-        if self.may_call(caller_deadline) {
-            self.call_refusals.record(self.clock.now_us());
-        }
-    }
-
-    /// Share of the runs here that repeat earlier ones.
-    pub(crate) fn repeat_share(&self) -> f64 {
-        self.repeats().at(self.clock.now_us())
-    }
-
-    fn repeats(&self) -> MutexGuard<'_, RepeatShare> {
-        self.repeats.lock().expect("no holder of the lock panics")
-    }
-
     /// The request as the backend server sees it, with the context of its execution.
     fn backend_request(
         &self,
@@ -426,35 +397,6 @@
     }
 }
 
-/// Retry tokens of an execution at this gate; dropping it loses them.
-struct LedgerSpan<'a> {
-    gate: &'a Gate,
-    id: SpanId,
-    is_open: bool,
-}
-
-impl<'a> LedgerSpan<'a> {
-    fn open(gate: &'a Gate, id: SpanId, tokens: u32) -> Self {
-        gate.retry.lock().expect("no holder of the lock panics").open(id, tokens);
-        Self { gate, id, is_open: true }
-    }
-
-    fn close(mut self) -> u32 {
-        self.is_open = false;
-        self.gate.retry.lock().expect("no holder of the lock panics").close(self.id)
-    }
-}
-
-impl Drop for LedgerSpan<'_> {
-    fn drop(&mut self) {
-        if self.is_open {
-            // The caller hung up before the head of the answer.
-            self.gate.metrics.count("gate.cancelled", 1);
-            self.gate.retry.lock().expect("no holder of the lock panics").close(self.id);
-        }
-    }
-}
-
 /// What a refusal of the backend server itself means for the caller.
 fn rejection(verdict: AnswerVerdict) -> Option<Failure> {
     match verdict {
--- a/crates/datapath/src/gate/mod.rs
+++ b/crates/datapath/src/gate/mod.rs
@@ -12,6 +12,8 @@
 mod gate_shell;
 mod keyed_run;
 mod keys;
+mod ledger_span;
+mod server_calls;
 mod spans;
 
 pub use attempts::AttemptKey;
--- a/crates/model/src/call/outcome.rs
+++ b/crates/model/src/call/outcome.rs
@@ -119,6 +119,11 @@
 }
 
 impl Reason {
+    /// Whether the request was refused because there was no room for it in its time.
+    pub fn is_overload(self) -> bool {
+        matches!(self, Self::Shed | Self::Late)
+    }
+
     /// Whether a backend server may have seen the request, so that sending it again adds to the
     /// work of the service.
     pub fn has_reached_server(self) -> bool {
