Test that a run which fails after a refused call is told apart

Cause: the link from a refused call to the failed run had a test of its time window only; nothing showed that the parts are connected.

--- a/crates/datapath/tests/datapath/exits.rs
+++ b/crates/datapath/tests/datapath/exits.rs
@@ -5,6 +5,7 @@
 use std::sync::OnceLock;
 
 use http::Request;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use tarragon_datapath::transport::empty;
 
@@ -91,3 +92,40 @@
     assert!(reply.text().starts_with("too-deep"), "{reply:?}");
     assert_eq!(backend.count() - before, 33);
 }
+
+/// Guards the link between a call that is refused for overload and the failure of the run that made it,
+/// by which a gate holds back kinds of requests whose calls are refused.
+#[tokio::test]
+async fn a_run_that_fails_after_a_refused_call_is_told_apart() {
+    let exit = Arc::new(OnceLock::<SocketAddr>::new());
+    let known = Arc::clone(&exit);
+    let backend = FakeBackend::start(move |incoming| {
+        let exit = Arc::clone(&known);
+        async move {
+            if incoming.uri().path() != "/call" {
+                return text("leaf");
+            }
+            let mut call = Request::builder().uri("/leaf").header("host", "counter");
+            for name in ["tarragon-span", "tarragon-request-id"] {
+                call = call.header(name, incoming.headers()[name].clone());
+            }
+            // The only slot is taken by the run that calls, so the call waits in vain.
+            let call = call.header("tarragon-deadline-ms", "50").body(empty()).unwrap();
+            let response = send(*exit.get().unwrap(), call).await.unwrap();
+            let mut answer = text("");
+            if !response.status().is_success() {
+                *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            }
+            answer
+        }
+    })
+    .await;
+    let mut cluster = Cluster::new();
+    cluster.limit = 1;
+    let owner = cluster.node("owner", Some(backend.address)).await;
+    exit.set(owner.exit).unwrap();
+    until_answered(&owner).await;
+    let reply = request(owner.caller, "GET", "/call", &[], "").await;
+    assert_eq!((reply.outcome(), reply.status.as_u16()), ("answered", 500));
+    assert_eq!(owner.metrics.read("gate.call_refused"), 1);
+}
