Keep the repeat share between nodes, and cover it with the hash

Change: headers of the data path are removed by the prefix of their names, so that a new one cannot be forgotten; the hash covers the share. Test first: headers_between_nodes_stay_between_them (the backend server saw tarragon-repeat-share); a_call_without_a_valid_hash_is_refused with a changed share (was taken).

--- a/crates/datapath/src/peer/auth.rs
+++ b/crates/datapath/src/peer/auth.rs
@@ -7,7 +7,7 @@
 use tarragon_wire::DeploymentKey;
 
 /// Headers that the hash covers, besides method and path.
-const COVERED: [HeaderName; 11] = [
+const COVERED: [HeaderName; 12] = [
     headers::KIND,
     headers::SERVICE,
     headers::REQUEST_ID,
@@ -19,6 +19,7 @@
     headers::TARGET,
     headers::ATTEMPT,
     headers::RETRY_TOKENS,
+    headers::REPEAT_SHARE,
 ];
 
 /// Proves that a request between nodes comes from a holder of the deployment key.
--- a/crates/datapath/src/transport/hop_headers.rs
+++ b/crates/datapath/src/transport/hop_headers.rs
@@ -16,24 +16,6 @@
     header::EXPECT,
 ];
 
-/// Headers that only nodes may set.
-const TARRAGON_HEADERS: [HeaderName; 14] = [
-    headers::RETRY_AFTER_MS,
-    headers::KIND,
-    headers::SERVICE,
-    headers::REQUEST_ID,
-    headers::SPAN,
-    headers::DEADLINE_MS,
-    headers::IMPORTANCE,
-    headers::DEPTH,
-    headers::TARGET,
-    headers::ATTEMPT,
-    headers::RETRY_TOKENS,
-    headers::MAC,
-    headers::OUTCOME,
-    headers::REASON,
-];
-
 /// Removes the headers that must not be forwarded, and those that `Connection` names.
 pub fn strip_hop_headers(map: &mut HeaderMap) {
     if map.contains_key(header::CONNECTION) {
@@ -56,10 +38,11 @@
 /// Removes the headers of the data path, so that neither a caller nor a backend server sets them
 /// for another hop. The idempotency key stays.
 pub fn strip_tarragon_headers(map: &mut HeaderMap) {
-    for name in &TARRAGON_HEADERS {
+    let is_own = |name: &&HeaderName| name.as_str().starts_with(headers::PREFIX);
+    let own: Vec<HeaderName> = map.keys().filter(is_own).cloned().collect();
+    for name in own {
         map.remove(name);
     }
-    map.remove(headers::ADVICE);
 }
 
 /// Size of the headers as they stand on an HTTP/1.1 connection, in bytes.
--- a/crates/datapath/tests/datapath/peers.rs
+++ b/crates/datapath/tests/datapath/peers.rs
@@ -71,12 +71,13 @@
     let node = cluster.node("one", Some(backend.address)).await;
     let call = || signed_call(node.instance, 1, Method::GET, "/");
     assert_eq!(send(&node, call()).await.outcome(), "answered");
-    let changes: [(&str, &str); 8] = [
+    let changes: [(&str, &str); 9] = [
         ("tarragon-importance", "0"),
         ("tarragon-deadline-ms", "9000"),
         ("tarragon-depth", "1"),
         ("tarragon-service", "other"),
         ("tarragon-retry-tokens", "9"),
+        ("tarragon-repeat-share", "1000"),
         ("tarragon-span", "0000000000000001"),
         ("idempotency-key", "stolen"),
         ("tarragon-mac", "00"),
@@ -93,7 +94,7 @@
     *request.uri_mut() = "http://node/other".parse().unwrap();
     assert_eq!(send(&node, request).await.status.as_u16(), 403);
     assert_eq!(backend.count(), 1);
-    assert_eq!(node.metrics.read("peer.bad_mac"), 10);
+    assert_eq!(node.metrics.read("peer.bad_mac"), 11);
 }
 
 /// Guards against an attempt that runs at a later life of the node it was addressed to.
--- a/crates/datapath/tests/datapath/routed.rs
+++ b/crates/datapath/tests/datapath/routed.rs
@@ -216,6 +216,27 @@
     assert_eq!(backend.count(), before);
 }
 
+/// Guards against headers between nodes that reach a backend server or a caller of a platform with headers
+/// of its own, and against ones that a caller sets.
+#[tokio::test]
+async fn headers_between_nodes_stay_between_them() {
+    let backend = answering().await;
+    let cluster = cluster();
+    let _owner = cluster.node("owner", Some(backend.address)).await;
+    let entry = cluster.node("entry", None).await;
+    until_routed(&entry).await;
+    let forged = [HEADERS[0], HEADERS[1], ("tarragon-repeat-share", "7"), ("tarragon-other", "7")];
+    let reply = request(entry.caller, "POST", "/one/7", &forged, "12 kg").await;
+    assert_eq!(reply.status.as_u16(), 200);
+    let (_, seen) = backend.seen().pop().unwrap();
+    let is_ours = |name: &&http::HeaderName| name.as_str().starts_with("tarragon-");
+    assert_eq!(seen.keys().find(is_ours), None, "at the backend server");
+    // The test's interface for callers tells the outcome in the project's own headers.
+    let told = ["tarragon-outcome", "tarragon-reason"];
+    let others = reply.headers.keys().filter(is_ours).find(|name| !told.contains(&name.as_str()));
+    assert_eq!(others, None, "at the caller");
+}
+
 /// Guards against work under an outdated configuration in the first moments of a node.
 #[tokio::test]
 async fn a_node_that_is_not_ready_refuses_until_it_serves() {
--- a/crates/model/src/call/headers.rs
+++ b/crates/model/src/call/headers.rs
@@ -2,6 +2,9 @@
 
 use http::HeaderName;
 
+/// What the names of all headers of the data path begin with, but for that of the idempotency key, which
+/// is a common one.
+pub const PREFIX: &str = "tarragon-";
 /// Names the service that a caller wants.
 pub const SERVICE: HeaderName = HeaderName::from_static("tarragon-service");
 /// Request id, 32 hexadecimal digits.
