--- a/crates/datapath/src/peer/peer_server.rs
+++ b/crates/datapath/src/peer/peer_server.rs
@@ -1,7 +1,6 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -27,7 +26,6 @@
 use tarragon_model::call::Outcome;
 use tarragon_model::call::Reason;
 use tarragon_model::identity::InstanceId;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::task_tracker::TaskTrackerToken;
@@ -46,12 +44,12 @@
 use crate::peer::MAX_RESET_STREAMS;
 use crate::peer::SEND_BUFFER_BYTES;
 use crate::peer::STREAM_WINDOW_BYTES;
-use crate::transport::accept_connections;
 use crate::transport::empty;
 use crate::transport::streamed;
 use crate::transport::strip_hop_headers;
 use crate::transport::strip_tarragon_headers;
 use crate::transport::Body;
+use crate::transport::BoundListener;
 use crate::transport::BoundedLog;
 use crate::transport::Failure;
 use crate::transport::TrackedExecutor;
@@ -62,14 +60,11 @@
 
 /// Takes calls, heartbeats and fences from other nodes.
 pub struct PeerServer {
-    address: SocketAddr,
-    listener: Mutex<Option<TcpListener>>,
+    listener: BoundListener,
     gate: Arc<Gate>,
     instance: InstanceId,
     auth: PeerAuth,
     refusals: BoundedLog,
-    /// Released when the last request has ended.
-    active: Mutex<Option<TaskTrackerToken>>,
 }
 
 impl PeerServer {
@@ -83,17 +78,14 @@
         auth: PeerAuth,
         active: TaskTrackerToken,
     ) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(gate.settings.peer_address).await?;
-        let address = listener.local_addr()?;
-        let listener = Mutex::new(Some(listener));
+        let listener = BoundListener::bind("peer", gate.settings.peer_address, active).await?;
         let refusals = BoundedLog::new(gate.clock);
-        let active = Mutex::new(Some(active));
-        Ok(Self { address, listener, gate, instance, auth, refusals, active })
+        Ok(Self { listener, gate, instance, auth, refusals })
     }
 
     /// The bound address.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.listener.address()
     }
 
     async fn serve(
@@ -265,7 +257,7 @@
 #[async_trait]
 impl Service for PeerServer {
     fn name(&self) -> &'static str {
-        "peer"
+        self.listener.name()
     }
 
     async fn run(
@@ -273,13 +265,8 @@
         _kernel: Arc<Kernel>,
         stop: CancellationToken,
     ) -> Result<(), Report<KernelError>> {
-        let listener = self.listener.lock().expect("no holder of the lock panics").take();
-        let listener =
-            listener.ok_or_else(|| Report::new(KernelError::ServiceFailed("peer".into())))?;
         let serve =
             |stream, from, tracker| Arc::clone(&self).serve(stream, from, tracker, stop.clone());
-        accept_connections(listener, usize::MAX, &stop, serve).await;
-        drop(self.active.lock().expect("no holder of the lock panics").take());
-        Ok(())
+        self.listener.serve(usize::MAX, &stop, serve).await
     }
 }
--- a/crates/datapath/src/transport/http1_listener.rs
+++ b/crates/datapath/src/transport/http1_listener.rs
@@ -1,7 +1,6 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -15,13 +14,12 @@
 use tarragon_kernel::Kernel;
 use tarragon_kernel::KernelError;
 use tarragon_kernel::Service;
-use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 use tracing::debug;
 
-use crate::transport::accept_connections;
 use crate::transport::Body;
+use crate::transport::BoundListener;
 use crate::transport::StallIo;
 
 /// Time after which a connection without a request is closed. The library's 30 s would close
@@ -52,13 +50,9 @@
 
 /// Accepts HTTP/1.1 connections until it is stopped, then lets requests in progress end.
 pub struct Http1Listener<H> {
-    name: &'static str,
-    address: SocketAddr,
-    listener: Mutex<Option<TcpListener>>,
+    listener: BoundListener,
     handler: Arc<H>,
     limits: Http1Limits,
-    /// Released when the last request has ended.
-    active: Mutex<Option<TaskTrackerToken>>,
 }
 
 impl<H: Http1Handler> Http1Listener<H> {
@@ -73,16 +67,13 @@
         limits: Http1Limits,
         active: TaskTrackerToken,
     ) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
-        let listener = Mutex::new(Some(listener));
-        let active = Mutex::new(Some(active));
-        Ok(Self { name, address, listener, handler, limits, active })
+        let listener = BoundListener::bind(name, address, active).await?;
+        Ok(Self { listener, handler, limits })
     }
 
     /// The bound address.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.listener.address()
     }
 
     async fn serve(
@@ -121,7 +112,7 @@
 #[async_trait]
 impl<H: Http1Handler> Service for Http1Listener<H> {
     fn name(&self) -> &'static str {
-        self.name
+        self.listener.name()
     }
 
     async fn run(
@@ -129,17 +120,12 @@
         _kernel: Arc<Kernel>,
         stop: CancellationToken,
     ) -> Result<(), Report<KernelError>> {
-        let listener = self.listener.lock().expect("no holder of the lock panics").take();
-        let listener =
-            listener.ok_or_else(|| Report::new(KernelError::ServiceFailed(self.name.into())))?;
         let limits = self.limits;
         let serve = |stream, from, _| {
             let stream = StallIo::new(stream, limits.stall_limit);
             let handler = Arc::clone(&self.handler);
             Self::serve(handler, stream, from, limits.max_header_bytes, stop.clone())
         };
-        accept_connections(listener, limits.max_connections, &stop, serve).await;
-        drop(self.active.lock().expect("no holder of the lock panics").take());
-        Ok(())
+        self.listener.serve(limits.max_connections, &stop, serve).await
     }
 }
--- a/crates/datapath/src/transport/mod.rs
+++ b/crates/datapath/src/transport/mod.rs
@@ -2,6 +2,7 @@
 
 mod accept;
 mod body;
+mod bound_listener;
 mod bounded_log;
 mod decision_log;
 mod executor;
@@ -11,12 +12,12 @@
 mod replay_body;
 mod stall_io;
 
-pub(crate) use accept::accept_connections;
 pub use body::empty;
 pub use body::full;
 pub use body::streamed;
 pub use body::Body;
 pub use body::BoxError;
+pub(crate) use bound_listener::BoundListener;
 pub(crate) use bounded_log::BoundedLog;
 pub(crate) use decision_log::DecisionLog;
 pub use executor::TrackedExecutor;
--- a/crates/datapath/tests/datapath/answers.rs
+++ b/crates/datapath/tests/datapath/answers.rs
@@ -1,5 +1,6 @@
 //! Answers of backend servers that are not what they announce.
 
+use crate::calls::owner_and_entry;
 use crate::calls::until_answered;
 use crate::calls::until_routed;
 use crate::support::open_backend;
@@ -101,20 +102,25 @@
     }
 }
 
-/// Guards against a pooled connection that is used again after a faulty answer.
-#[tokio::test]
-async fn calls_after_a_faulty_answer_are_answered() {
-    let cluster = Cluster::new();
-    let address = raw_backend(b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc").await;
-    let owner = cluster.node("owner", Some(address)).await;
+/// Checks that each of 20 calls gets the whole answer `abc` of the backend server.
+async fn check_20_answers(cluster: &Cluster, backend: std::net::SocketAddr) {
+    let owner = cluster.node("owner", Some(backend)).await;
     until_answered(&owner).await;
     for _ in 0..20 {
-        // The backend server closes each connection after its answer.
         let reply = request(owner.caller, "POST", "/weigh", &[], "12 kg").await;
         assert_eq!((reply.outcome(), reply.text().as_str()), ("answered", "abc"));
     }
 }
 
+/// Guards against a pooled connection that is used again after a faulty answer.
+#[tokio::test]
+async fn calls_after_a_faulty_answer_are_answered() {
+    let cluster = Cluster::new();
+    let address = raw_backend(b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc").await;
+    // The backend server closes each connection after its answer.
+    check_20_answers(&cluster, address).await;
+}
+
 /// Guards against bytes behind a chunked answer that the next request takes for its own answer.
 #[tokio::test]
 async fn bytes_behind_a_chunked_answer_reach_no_other_caller() {
@@ -122,12 +128,7 @@
     let answer = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n\
         HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nevil";
     let address = open_backend(answer).await;
-    let owner = cluster.node("owner", Some(address)).await;
-    until_answered(&owner).await;
-    for _ in 0..20 {
-        let reply = request(owner.caller, "POST", "/weigh", &[], "12 kg").await;
-        assert_eq!((reply.outcome(), reply.text().as_str()), ("answered", "abc"));
-    }
+    check_20_answers(&cluster, address).await;
 }
 
 /// Guards against an answer with large headers that only the own node passes on.
@@ -140,9 +141,7 @@
     });
     let large = large.await;
     let cluster = Cluster::new();
-    let owner = cluster.node("owner", Some(large.address)).await;
-    let entry = cluster.node("entry", None).await;
-    until_answered(&entry).await;
+    let (owner, entry) = owner_and_entry(&cluster, large.address).await;
     for caller in [owner.caller, entry.caller] {
         let reply = request(caller, "GET", "/", &[], "").await;
         assert_eq!((reply.outcome(), reply.header("x-large").len()), ("answered", 60_000));
--- a/crates/datapath/tests/datapath/calls.rs
+++ b/crates/datapath/tests/datapath/calls.rs
@@ -38,14 +38,23 @@
     panic!("the node gives no answer");
 }
 
+/// The node in front of a backend server and another one, through which calls for it are answered.
+pub async fn owner_and_entry(
+    cluster: &Cluster,
+    backend: std::net::SocketAddr,
+) -> (crate::support::Node, crate::support::Node) {
+    let owner = cluster.node("owner", Some(backend)).await;
+    let entry = cluster.node("entry", None).await;
+    until_answered(&entry).await;
+    (owner, entry)
+}
+
 /// Guards the whole path: caller, entry, peer connection, gate, backend server and back.
 #[tokio::test]
 async fn a_request_through_another_node_is_answered_with_its_context() {
     let backend = echo().await;
     let cluster = Cluster::new();
-    let owner = cluster.node("owner", Some(backend.address)).await;
-    let entry = cluster.node("entry", None).await;
-    until_answered(&entry).await;
+    let (owner, entry) = owner_and_entry(&cluster, backend.address).await;
     let reply = request(entry.caller, "POST", "/weigh?x=1", &[], "12 kg").await;
     assert_eq!((reply.status.as_u16(), reply.outcome()), (200, "answered"));
     assert_eq!(reply.text(), "/weigh?x=1 12 kg");
--- a/crates/datapath/tests/datapath/cancel.rs
+++ b/crates/datapath/tests/datapath/cancel.rs
@@ -23,6 +23,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::Notify;
 
+use crate::calls::owner_and_entry;
 use crate::calls::until_answered;
 use crate::support::request;
 use crate::support::send;
@@ -55,9 +56,7 @@
     })
     .await;
     let cluster = Cluster::new();
-    let owner = cluster.node("owner", Some(backend.address)).await;
-    let entry = cluster.node("entry", None).await;
-    until_answered(&entry).await;
+    let (owner, entry) = owner_and_entry(&cluster, backend.address).await;
     for caller in [owner.caller, entry.caller] {
         let mut stream = TcpStream::connect(caller).await.unwrap();
         let head = b"PUT /photo HTTP/1.1\r\nhost: counter\r\ncontent-length: 1000000\r\n\r\nabc";
@@ -91,9 +90,7 @@
     })
     .await;
     let cluster = Cluster::new();
-    let owner = cluster.node("owner", Some(backend.address)).await;
-    let entry = cluster.node("entry", None).await;
-    until_answered(&entry).await;
+    let (owner, entry) = owner_and_entry(&cluster, backend.address).await;
     for caller in [owner.caller, entry.caller] {
         tokio::select! {
             _ = request(caller, "POST", "/weigh", &[], "12 kg") => panic!("no answer was given"),
@@ -168,9 +165,7 @@
     })
     .await;
     let cluster = Cluster::new();
-    let owner = cluster.node("owner", Some(backend.address)).await;
-    let entry = cluster.node("entry", None).await;
-    until_answered(&entry).await;
+    let (owner, entry) = owner_and_entry(&cluster, backend.address).await;
     let running = request(entry.caller, "POST", "/weigh", &[], "12 kg");
     let drain = async {
         started.notified().await;
--- a/crates/datapath/tests/datapath/exits.rs
+++ b/crates/datapath/tests/datapath/exits.rs
@@ -15,6 +15,7 @@
 use crate::support::text;
 use crate::support::Cluster;
 use crate::support::FakeBackend;
+use crate::support::Node;
 
 /// Backend server that calls its own service again below `/call`, with or without its context,
 /// and answers with the outcome and body of that call.
@@ -44,6 +45,18 @@
     .await
 }
 
+/// Node in front of a backend server that is told where to make its calls.
+async fn owner_with_exit(
+    cluster: &Cluster,
+    backend: &FakeBackend,
+    exit: &OnceLock<SocketAddr>,
+) -> Node {
+    let owner = cluster.node("owner", Some(backend.address)).await;
+    exit.set(owner.exit).unwrap();
+    until_answered(&owner).await;
+    owner
+}
+
 /// Guards against a call tree whose hops differ in request id, importance or deadline, and against
 /// context that is made up for calls without one.
 #[tokio::test]
@@ -51,9 +64,7 @@
     let exit = Arc::new(OnceLock::new());
     let backend = calling(Arc::clone(&exit)).await;
     let cluster = Cluster::new();
-    let owner = cluster.node("owner", Some(backend.address)).await;
-    exit.set(owner.exit).unwrap();
-    until_answered(&owner).await;
+    let owner = owner_with_exit(&cluster, &backend, &exit).await;
     let headers = [("tarragon-deadline-ms", "9000")];
     let reply = request(owner.caller, "GET", "/call/leaf", &headers, "").await;
     assert_eq!((reply.outcome(), reply.text().as_str()), ("answered", "leaf"));
@@ -83,9 +94,7 @@
     let exit = Arc::new(OnceLock::new());
     let backend = calling(Arc::clone(&exit)).await;
     let cluster = Cluster::new();
-    let owner = cluster.node("owner", Some(backend.address)).await;
-    exit.set(owner.exit).unwrap();
-    until_answered(&owner).await;
+    let owner = owner_with_exit(&cluster, &backend, &exit).await;
     let before = backend.count();
     let path = format!("{}/leaf", "/call".repeat(40));
     let reply = request(owner.caller, "GET", &path, &[], "").await;
@@ -122,9 +131,7 @@
     .await;
     let mut cluster = Cluster::new();
     cluster.limit = 1;
-    let owner = cluster.node("owner", Some(backend.address)).await;
-    exit.set(owner.exit).unwrap();
-    until_answered(&owner).await;
+    let owner = owner_with_exit(&cluster, &backend, &exit).await;
     let reply = request(owner.caller, "GET", "/call", &[], "").await;
     assert_eq!((reply.outcome(), reply.status.as_u16()), ("answered", 500));
     assert_eq!(owner.metrics.read("gate.call_refused"), 1);
--- a/crates/datapath/tests/datapath/lost.rs
+++ b/crates/datapath/tests/datapath/lost.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::calls::owner_and_entry;
 use crate::calls::until_answered;
 use crate::calls::until_routed;
 use crate::support::raw_backend;
@@ -147,9 +148,7 @@
 async fn a_restarted_node_runs_nothing_that_was_meant_for_its_earlier_life() {
     let backend = FakeBackend::start(|_| async { text("weighed") }).await;
     let mut cluster = impatient();
-    let owner = cluster.node("owner", Some(backend.address)).await;
-    let entry = cluster.node("entry", None).await;
-    until_answered(&entry).await;
+    let (owner, entry) = owner_and_entry(&cluster, backend.address).await;
     let (earlier, peer) = (owner.instance, owner.peer);
     owner.stop().await;
     cluster.settings.peer_address = peer;
@@ -260,9 +259,7 @@
     cluster.limit = 1;
     // On a busy machine the gate's answer may take long; the test is about which one it is.
     cluster.settings.answer_grace_ms = 10_000;
-    let owner = cluster.node("owner", Some(backend.address)).await;
-    let entry = cluster.node("entry", None).await;
-    until_answered(&entry).await;
+    let (owner, entry) = owner_and_entry(&cluster, backend.address).await;
     let before = backend.count();
     for caller in [owner.caller, entry.caller] {
         let running = [("tarragon-deadline-ms", "400")];
