--- a/crates/datapath/tests/datapath/keys.rs
+++ b/crates/datapath/tests/datapath/keys.rs
@@ -52,6 +52,26 @@
     assert_eq!((reply.outcome(), reply.reason()), ("not-run", "not-ready"));
 }
 
+/// Guards against `not-run` for a key that may have run, from an entry that throttles the caller.
+#[tokio::test]
+async fn a_throttled_caller_is_told_nothing_about_its_keys() {
+    let cluster = Cluster::new();
+    let entry = cluster.node("entry", None).await;
+    let caller = ("authorization", "hard");
+    for at in 0..300 {
+        let key = format!("key {at}");
+        let keyed = [caller, ("idempotency-key", &*key)];
+        let reply = request(entry.caller, "POST", "/weigh", &keyed, "12 kg").await;
+        assert_eq!(reply.outcome(), "unknown", "{at}: {}", reply.reason());
+    }
+    let mut reasons = Vec::new();
+    for _ in 0..20 {
+        let reply = request(entry.caller, "POST", "/weigh", &[caller], "12 kg").await;
+        reasons.push(reply.reason().to_string());
+    }
+    assert!(reasons.iter().any(|reason| reason == "throttled"), "{reasons:?}");
+}
+
 /// Guards against a node that takes requests until it is killed, because a long run at its gate keeps it
 /// from ending: they would be cut. The calls of that run are still served.
 #[tokio::test]
--- a/crates/tarragond/tests/processes/plain_nodes.rs
+++ b/crates/tarragond/tests/processes/plain_nodes.rs
@@ -1,6 +1,7 @@
 //! One control replica and two plain nodes with backend servers: a node dies, a node stops.
 
 use rustix::process::Signal;
+use serde_json::json;
 use tarragon_model::member::BackendState;
 
 use crate::support::call;
@@ -85,3 +86,23 @@
     let after = call(&cluster["replica-1"], "/after").await;
     assert_eq!(after.text, format!("{other} ran /after"));
 }
+
+/// Guards against a healthy backend server that gets no work while its node waits for callers to leave: it
+/// may be the only one.
+#[tokio::test]
+async fn a_stopping_node_serves_its_backend_server_until_others_are_told() {
+    let mut cluster = Cluster::new(&["replica-1", "plain-1"]);
+    // Longer than the calls below take on a busy machine.
+    let limits = json!({ "drain_notice_ms": 60_000, "gate_notice_ms": 500 });
+    cluster["plain-1"].settings["limits"] = limits;
+    cluster.start().await;
+    let _backend = Backend::start("only", &cluster["plain-1"]).await;
+    until_ready(&cluster, "replica-1", 1).await;
+    cluster["plain-1"].signal(Signal::TERM);
+    let is_stopping = async || cluster["plain-1"].log().contains("stop requested").then_some(());
+    until("the stop is noticed", is_stopping).await;
+    for at in 0..CALLS {
+        let path = format!("/during/{at}");
+        assert_eq!(call(&cluster["replica-1"], &path).await.text, format!("only ran {path}"));
+    }
+}
