--- a/crates/datapath/src/datapath/settings.rs
+++ b/crates/datapath/src/datapath/settings.rs
@@ -99,6 +99,7 @@
             reconnect_interval_ms: 100,
             heartbeat_interval_ms: 500,
             heartbeat_timeout_ms: 1_500,
+            // TCP sends a lost packet again after 200 ms, so one loss raises no suspicion.
             suspect_after_ms: 300,
             peer_idle_ms: 60_000,
             answer_grace_ms: 50,
--- a/crates/datapath/src/peer/peer_server.rs
+++ b/crates/datapath/src/peer/peer_server.rs
@@ -55,7 +55,7 @@
 use crate::transport::TrackedExecutor;
 
 /// Time that a peer has to close its connection after the last request here has ended. A frozen peer
-/// never does, and a stopping node must not wait for it.
+/// never does, and a stopping node must not wait for it. Several round trips to another region.
 const CLOSE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Takes calls, heartbeats and fences from other nodes.
--- a/crates/policy/src/admission/kind_limits.rs
+++ b/crates/policy/src/admission/kind_limits.rs
@@ -21,11 +21,17 @@
 impl Default for KindLimitSettings {
     fn default() -> Self {
         Self {
+            // One lost call in 100, if a run makes five.
             max_refused_share: 0.05,
+            // Of fewer ends a single one is a third or more.
             min_ends: 4,
+            // As long as a failure may follow the refused call that explains it.
             min_period_us: 100_000,
+            // A limit that is right is exceeded by less than the share of lost calls that is allowed.
             growth_share: 0.02,
+            // From a third back to the whole in three periods.
             max_growth_share: 0.5,
+            // One more period of the fastest growth would not reach it.
             drop_factor: 2.0,
         }
     }
--- a/crates/policy/src/admission/slot_admission.rs
+++ b/crates/policy/src/admission/slot_admission.rs
@@ -50,7 +50,9 @@
             max_queue: 1_024,
             default_run_us: 100_000,
             min_run_share: 0.5,
+            // Six calls in a row that each wait so long leave a chain more than a third of its time.
             max_wait_share: 0.15,
+            // A third of the shortest deadline of the users' clients (2 s), up to which they honour it.
             min_comeback_ms: 700,
             kind_limits: KindLimitSettings::default(),
             advised_wait_us: 1_500_000,
