--- a/crates/datapath/src/interface/route_matcher.rs
+++ b/crates/datapath/src/interface/route_matcher.rs
@@ -6,7 +6,6 @@
 use tarragon_model::call::Reason;
 use tarragon_model::catalogue::Catalogue;
 use tarragon_model::configuration::Configuration;
-use tarragon_model::configuration::RepeatRule;
 use tarragon_model::configuration::Route;
 use tarragon_policy::admission::WorkClass;
 use tarragon_policy::routing::WeightedRoundRobin;
@@ -59,14 +58,13 @@
         let now = Instant::now();
         let default_deadline = now + Duration::from_millis(route.time_limit_ms);
         let caller_deadline = request.deadline_ms.map(|ms| now + Duration::from_millis(ms));
-        let is_large = route.repeat == RepeatRule::AtMostOnceLarge;
         Ok(InboundRequest {
             service: self.choose_target(route, configuration).to_string(),
             caller_request_id: request.caller_request_id.to_string(),
             rank: route.rank,
             lowest_rank: route.rank,
             is_idempotent: route.repeat.is_idempotent(),
-            class: if is_large { WorkClass::Long } else { WorkClass::Short },
+            class: if route.repeat.is_large() { WorkClass::Long } else { WorkClass::Short },
             requested_deadline: Some(
                 caller_deadline.map_or(default_deadline, |at| at.min(default_deadline)),
             ),
--- a/crates/model/src/configuration/route.rs
+++ b/crates/model/src/configuration/route.rs
@@ -10,12 +10,21 @@
     AtMostOnce,
     /// The request may run at most once, and its body is large.
     AtMostOnceLarge,
+    /// The request may run more than once, and its response is large. A response that breaks off
+    /// after its head is not continued by another run, since the caller already has a part of it.
+    IdempotentLarge,
 }
 
 impl RepeatRule {
     /// Whether the request may run more than once.
     pub fn is_idempotent(self) -> bool {
-        self == Self::Idempotent
+        matches!(self, Self::Idempotent | Self::IdempotentLarge)
+    }
+
+    /// Whether the body of the request or of its response is large. Large bodies are transferred
+    /// over connections of their own, so that they do not delay short requests.
+    pub fn is_large(self) -> bool {
+        matches!(self, Self::AtMostOnceLarge | Self::IdempotentLarge)
     }
 }
 
