Report run times to calling nodes, and give up silent idempotent requests

Cause: calling nodes measured the speed of servers by their own answers, weighted down within 4 s. With 94 nodes each sees a server every few seconds, so speeds were never known and long weigh-ins went to slow servers.

Cause: some servers never answer a request that they cannot queue; it held its slot at the gate until its deadline, and its time was learnt as a run time. An idempotent request without a byte for 1.5 times the longest answer of its kind is now given up and sent to another server within the retry ratio; the others are waited for until their deadline. an_unanswered_idempotent_request_runs_on_another_server plays it.

--- a/crates/datapath/src/entry/forwarder.rs
+++ b/crates/datapath/src/entry/forwarder.rs
@@ -271,6 +271,7 @@
             service: &call.service,
             request_id: call.context.request_id,
             rank: call.context.importance,
+            kind: call.kind,
             excluded,
             needs_proven_connection: !call.is_idempotent,
         };
@@ -353,7 +354,11 @@
                 }
             }
         };
-        let GateResponse { result, unused_tokens, .. } = gate_response;
+        let GateResponse { result, unused_tokens, run_time, .. } = gate_response;
+        if let Some(run_time) = run_time {
+            let now_us = dependencies.clock.now_us();
+            self.route().record_run_time(&call.service, target, &run_time, now_us);
+        }
         self.retry().return_tokens(call.ledger_span, unused_tokens.min(tokens));
         match result {
             Ok(response) => {
@@ -431,7 +436,10 @@
             true
         }
         // The request may have run, so only idempotent requests are sent again.
-        Reason::ConnectionLost | Reason::BadAnswer | Reason::WrongInstance => call.is_idempotent,
+        Reason::ConnectionLost
+        | Reason::BadAnswer
+        | Reason::WrongInstance
+        | Reason::Unresponsive => call.is_idempotent,
         _ => false,
     };
     may_succeed && call.body.is_replayable()
--- a/crates/datapath/src/entry/outgoing_call.rs
+++ b/crates/datapath/src/entry/outgoing_call.rs
@@ -81,6 +81,7 @@
             attempt,
             retry_tokens,
             repeat_share,
+            is_idempotent: self.is_idempotent,
             deadline: self.deadline,
         }
     }
--- a/crates/datapath/src/gate/admission_queue.rs
+++ b/crates/datapath/src/gate/admission_queue.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::time::Duration;
 use std::time::Instant;
 
 use tarragon_model::call::Reason;
@@ -10,6 +11,7 @@
 use tarragon_policy::admission::AdmissionPolicy;
 use tarragon_policy::admission::AdmissionRefusal;
 use tarragon_policy::admission::AdmissionRequest;
+use tarragon_policy::admission::MeanRunTime;
 use tarragon_policy::admission::QueueDecision;
 use tarragon_policy::admission::RunOutcome;
 use tarragon_policy::admission::RunResult;
@@ -159,7 +161,7 @@
                 () = due => {
                     self.apply_decisions(&mut self.lock());
                     // Avoids a busy loop if the policy remains due after the poll.
-                    tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+                    tokio::time::sleep(Duration::from_millis(1)).await;
                 }
             }
         }
@@ -181,6 +183,14 @@
         self.lock().policy.advice(self.clock.now_us())
     }
 
+    pub(crate) fn mean_run_time(&self, kind: u32) -> Option<MeanRunTime> {
+        self.lock().policy.mean_run_time(kind)
+    }
+
+    pub(crate) fn silence_limit(&self, kind: u32) -> Option<Duration> {
+        self.lock().policy.silence_limit_us(kind).map(Duration::from_micros)
+    }
+
     pub(crate) fn counts(&self) -> RequestCounts {
         let state = self.lock();
         RequestCounts { running: state.running_count, waiting: state.waiting.len() }
--- a/crates/datapath/src/gate/gate_call.rs
+++ b/crates/datapath/src/gate/gate_call.rs
@@ -4,6 +4,7 @@
 use http::Response;
 use tarragon_model::call::CallContext;
 use tarragon_policy::admission::AdmissionAdvice;
+use tarragon_policy::admission::MeanRunTime;
 
 use crate::transport::Body;
 use crate::transport::CallFailure;
@@ -25,6 +26,8 @@
     /// Probability that the call repeats work that was run before. The header
     /// `Tarragon-Repeat-Share` carries it in thousandths.
     pub repeat_share: f64,
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
     /// Time at which the caller stops waiting.
     pub deadline: Instant,
 }
@@ -37,11 +40,13 @@
     pub unused_tokens: u32,
     /// What the gate currently admits; `None` if the gate was not reached.
     pub advice: Option<AdmissionAdvice>,
+    /// Mean run time of this kind of request at the gate, if it is known.
+    pub run_time: Option<MeanRunTime>,
 }
 
 impl GateResponse {
     /// Result of a call that no gate handled; the retry tokens of the call are lost.
     pub fn failed(failure: CallFailure) -> Self {
-        Self { result: Err(failure), unused_tokens: 0, advice: None }
+        Self { result: Err(failure), unused_tokens: 0, advice: None, run_time: None }
     }
 }
--- a/crates/datapath/src/peer/peer_pool.rs
+++ b/crates/datapath/src/peer/peer_pool.rs
@@ -270,6 +270,7 @@
             attempt,
             retry_tokens,
             repeat_share,
+            is_idempotent,
             deadline,
         } = call;
         let (mut parts, body) = request.into_parts();
@@ -284,6 +285,11 @@
         map.insert(headers::ATTEMPT, attempt.into());
         map.insert(headers::RETRY_TOKENS, retry_tokens.into());
         map.insert(headers::REPEAT_SHARE, ((repeat_share * 1_000.0) as u32).into());
+        if is_idempotent {
+            // Not covered by the hash: it only shortens the wait of the gate for an answer. Whether
+            // the request is sent again is decided here.
+            map.insert(headers::IDEMPOTENT, header_value("1"));
+        }
         self.shared.auth.sign(&parts.method, &path, map);
         let authority = peer.address.to_string();
         let uri = Uri::builder().scheme("http").authority(authority).path_and_query(path);
@@ -349,6 +355,8 @@
 ) -> GateResponse {
     let advice = parse_advice(&response);
     let (mut parts, incoming) = response.into_parts();
+    let run_time = parts.headers.get(headers::RUN_TIME);
+    let run_time = run_time.and_then(|value| value.to_str().ok()?.parse().ok());
     let unused_tokens = parse_number(&parts.headers, headers::RETRY_TOKENS);
     let unused_tokens = unused_tokens.and_then(|n| u32::try_from(n).ok()).unwrap_or(0);
     let reason = parts.headers.get(headers::REASON).and_then(|value| value.to_str().ok());
@@ -365,5 +373,5 @@
         }
         _ => Err(Reason::BadAnswer.into()),
     };
-    GateResponse { result, unused_tokens, advice }
+    GateResponse { result, unused_tokens, advice, run_time }
 }
--- a/crates/datapath/src/peer/peer_server.rs
+++ b/crates/datapath/src/peer/peer_server.rs
@@ -36,6 +36,7 @@
 use crate::gate::AttemptKey;
 use crate::gate::Gate;
 use crate::gate::GateCall;
+use crate::gate::GateResponse;
 use crate::peer::peer_connection::header_value;
 use crate::peer::PeerAuth;
 use crate::peer::CONNECTION_WINDOW_BYTES;
@@ -192,13 +193,13 @@
         let map = request.headers();
         let echoed_headers = [headers::REQUEST_ID, headers::ATTEMPT]
             .map(|name| (name.clone(), map.get(&name).cloned()));
-        let (result, retry_tokens, advice) = match self.read_call(request) {
-            Ok(call) => {
-                let gate_response = self.gate.call(call).await;
-                (gate_response.result, gate_response.unused_tokens, gate_response.advice)
+        let gate_response = match self.read_call(request) {
+            Ok(call) => self.gate.call(call).await,
+            Err((failure, unused_tokens)) => {
+                GateResponse { unused_tokens, ..GateResponse::failed(failure) }
             }
-            Err((failure, retry_tokens)) => (Err(failure), retry_tokens, None),
         };
+        let GateResponse { result, unused_tokens, advice, run_time } = gate_response;
         let is_answered = result.is_ok();
         let retry_after_ms = result.as_ref().err().map_or(0, |failure| failure.retry_after_ms);
         let mut response = result.unwrap_or_else(CallFailure::into_response);
@@ -213,10 +214,13 @@
                 map.insert(name, value);
             }
         }
-        map.insert(headers::RETRY_TOKENS, retry_tokens.into());
+        map.insert(headers::RETRY_TOKENS, unused_tokens.into());
         if let Some(advice) = advice {
             map.insert(headers::ADVICE, header_value(&advice.to_string()));
         }
+        if let Some(run_time) = run_time {
+            map.insert(headers::RUN_TIME, header_value(&run_time.to_string()));
+        }
         response
     }
 
@@ -248,6 +252,7 @@
         let request_kind = parse_header(map, headers::KIND).unwrap_or(0);
         let repeat_share = parse_header(map, headers::REPEAT_SHARE).unwrap_or(0_u32);
         let repeat_share = f64::from(repeat_share) / 1_000.0;
+        let is_idempotent = map.contains_key(headers::IDEMPOTENT);
         strip_hop_headers(map);
         strip_tarragon_headers(map);
         let path = parts.uri.path_and_query().cloned();
@@ -263,6 +268,7 @@
             attempt,
             retry_tokens,
             repeat_share,
+            is_idempotent,
             deadline,
         })
     }
--- a/crates/datapath/tests/datapath/main.rs
+++ b/crates/datapath/tests/datapath/main.rs
@@ -14,3 +14,4 @@
 mod peers;
 mod routed;
 mod support;
+mod unresponsive;
--- a/crates/datapath/tests/datapath/routed.rs
+++ b/crates/datapath/tests/datapath/routed.rs
@@ -42,12 +42,13 @@
 }
 
 /// Cluster with a configuration that has several routes to the service `counter`.
-fn configured_cluster() -> Cluster {
+pub fn configured_cluster() -> Cluster {
     let routes = vec![
         route("/one/", RepeatRule::Idempotent, 1, 20_000),
         route("/two/", RepeatRule::Idempotent, 2, 20_000),
         route("/once/", RepeatRule::AtMostOnce, 2, 20_000),
         route("/brief/", RepeatRule::Idempotent, 1, 200),
+        route("/brief-once/", RepeatRule::AtMostOnce, 2, 400),
     ];
     let services = vec![ServiceLimits { name: "counter".into(), max_connections: 10 }];
     let limits = CallerLimits {
@@ -63,12 +64,12 @@
     cluster
 }
 
-async fn send(node: &Node, path: &str) -> Reply {
+pub async fn send(node: &Node, path: &str) -> Reply {
     request(node.caller, "POST", path, &HEADERS, "12 kg").await
 }
 
 /// Waits until the routing policy of the node has candidates, whatever their response.
-async fn wait_until_routed(node: &Node) {
+pub async fn wait_until_routed(node: &Node) {
     for _ in 0..1_000 {
         if send(node, "/one/ready").await.reason() != "no-server" {
             return;
--- a/crates/datapath/tests/datapath/support/cluster.rs
+++ b/crates/datapath/tests/datapath/support/cluster.rs
@@ -32,6 +32,9 @@
 use tarragon_model::member::BackendState;
 use tarragon_model::member::MemberRecord;
 use tarragon_model::note::ReleaseNote;
+use tarragon_policy::admission::AdmissionPolicy;
+use tarragon_policy::admission::SlotAdmission;
+use tarragon_policy::admission::SlotAdmissionSettings;
 use tarragon_policy::once::KeyTable;
 use tarragon_policy::once::OnceSettings;
 use tarragon_policy::retry::CallerThrottle;
@@ -118,6 +121,9 @@
     pub settings: DataPathSettings,
     /// Maximum number of requests that each gate runs concurrently.
     pub concurrency_limit: usize,
+    /// Whether the gates use the slots of their backend servers and the run times that they measure,
+    /// instead of `concurrency_limit`.
+    pub uses_slots: bool,
     pub caller_interface: Arc<dyn CallerInterface>,
     pub backend_interface: Arc<dyn BackendInterface>,
     /// Whether the nodes accept requests of callers.
@@ -178,6 +184,7 @@
             claims: Arc::default(),
             settings,
             concurrency_limit: 1_000,
+            uses_slots: false,
             caller_interface: Arc::new(NativeCallerInterface),
             backend_interface: Arc::new(NativeBackendInterface),
             serving: watch::Sender::new(ServingState::Ready),
@@ -224,8 +231,13 @@
             backend_interface: Arc::clone(&self.backend_interface),
             serving: self.serving.subscribe(),
         };
+        let admission: Box<dyn AdmissionPolicy> = if self.uses_slots {
+            Box::new(SlotAdmission::new(SlotAdmissionSettings::default()))
+        } else {
+            Box::new(FixedLimit::new(self.concurrency_limit, 100))
+        };
         let policies = Policies {
-            admission: Box::new(FixedLimit::new(self.concurrency_limit, 100)),
+            admission,
             route: Box::new(LeastInFlight::default()),
             retry: Box::new(TokenLedger::default()),
             once: Box::new(KeyTable::new(instance, OnceSettings::default())),
--- a/crates/policy/examples/measure_chain/simulation.rs
+++ b/crates/policy/examples/measure_chain/simulation.rs
@@ -214,6 +214,7 @@
             service: name,
             request_id: call.origin.request_id,
             rank: OPERATIONS[call.origin.caller.operation].rank,
+            kind: 0,
             excluded: &call.excluded,
             needs_proven_connection: false,
         };
--- a/crates/policy/examples/measure_routing.rs
+++ b/crates/policy/examples/measure_routing.rs
@@ -226,6 +226,7 @@
             request_id: RequestId { instance: InstanceId(99), counter },
             rank: 1,
             excluded: &[],
+            kind: 0,
             needs_proven_connection: false,
         };
         let RouteDecision::Use(target) = self.entries[entry].choose(&query, self.now_us) else {
--- a/crates/policy/src/admission/policy.rs
+++ b/crates/policy/src/admission/policy.rs
@@ -2,6 +2,7 @@
 use tarragon_model::identity::RequestId;
 
 use crate::admission::AdmissionAdvice;
+use crate::admission::MeanRunTime;
 
 /// Identifies an admitted or waiting request at one gate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -73,6 +74,8 @@
     CallRefused,
     /// The backend server itself rejected the request because of overload.
     Rejected,
+    /// The backend server sent nothing for longer than the limit of `silence_limit_us`.
+    Unresponsive,
     /// The caller cancelled the request.
     Cancelled,
 }
@@ -109,6 +112,18 @@
     /// Current admission cutoff and load of this gate, for the nodes that call it.
     fn advice(&self, now_us: u64) -> AdmissionAdvice;
 
+    /// Mean run time of a kind of request at this gate, for the nodes that call it. `None` if there
+    /// are too few runs, or if the policy does not measure run times by kind.
+    fn mean_run_time(&self, _kind: u32) -> Option<MeanRunTime> {
+        None
+    }
+
+    /// Time without a byte of the response after which an idempotent request of a kind is given up, so
+    /// that it can run elsewhere, in µs. `None` if it is waited for until its deadline.
+    fn silence_limit_us(&self, _kind: u32) -> Option<u64> {
+        None
+    }
+
     /// Starts or ends a drain. A draining gate refuses all new and waiting requests.
     fn set_drain(&mut self, is_draining: bool, now_us: u64);
 
--- a/crates/policy/src/admission/slot_admission.rs
+++ b/crates/policy/src/admission/slot_admission.rs
@@ -5,12 +5,15 @@
 use tarragon_model::call::Reason;
 
 use crate::admission::kind_limits::KindLimits;
+use crate::admission::longest_runs::LongestRuns;
+use crate::admission::run_time_means::RunTimeMeans;
 use crate::admission::AdmissionAdvice;
 use crate::admission::AdmissionDecision;
 use crate::admission::AdmissionPolicy;
 use crate::admission::AdmissionRefusal;
 use crate::admission::AdmissionRequest;
 use crate::admission::KindLimitSettings;
+use crate::admission::MeanRunTime;
 use crate::admission::QueueDecision;
 use crate::admission::RunOutcome;
 use crate::admission::RunResult;
@@ -61,17 +64,10 @@
     }
 }
 
-/// Weight of the newest run in the mean run times.
-const RUN_TIME_WEIGHT: f64 = 1.0 / 32.0;
-
 /// Number of different retry delays for one predicted wait, between the wait and 1.5 times the
 /// wait.
 const RETRY_SPREAD_STEPS: u64 = 16;
 
-/// Maximum number of kinds of requests with a mean run time. When it is reached, a new kind
-/// discards all means.
-const MAX_KINDS: usize = 4_096;
-
 #[derive(Debug, Clone, Copy)]
 struct WaitingRequest {
     kind: u32,
@@ -109,10 +105,8 @@
     /// Totals of the waiting requests by rank and kind.
     queued: BTreeMap<(u8, u32), QueuedTotal>,
     limits: KindLimits,
-    /// Mean run times by kind, in µs.
-    mean_run_us: HashMap<u32, f64>,
-    /// Mean run time of all kinds, in µs.
-    overall_run_us: f64,
+    run_times: RunTimeMeans,
+    longest_runs: LongestRuns,
     /// Refusals that the next poll returns.
     pending_refusals: Vec<QueueDecision>,
     is_draining: bool,
@@ -129,8 +123,8 @@
             by_latest_start: BTreeSet::new(),
             queued: BTreeMap::new(),
             limits: KindLimits::new(settings.kind_limits),
-            mean_run_us: HashMap::new(),
-            overall_run_us: settings.default_run_us as f64,
+            run_times: RunTimeMeans::new(settings.default_run_us),
+            longest_runs: LongestRuns::default(),
             pending_refusals: Vec::new(),
             is_draining: false,
             last_ticket: 0,
@@ -142,11 +136,6 @@
         ((f64::from(self.slots) * self.settings.used_share) as u32).max(1)
     }
 
-    /// Expected run time of a request of a kind, in µs.
-    fn expected_us(&self, kind: u32) -> u64 {
-        self.mean_run_us.get(&kind).map_or(self.settings.default_run_us, |mean| *mean as u64)
-    }
-
     fn has_free_slot(&self) -> bool {
         (self.running.len() as u32) < self.limit()
     }
@@ -165,7 +154,7 @@
         // Requests that wait because of the limit of their kind do not need a slot yet.
         let ahead = ahead.filter(|((_, kind), _)| self.limits.may_start(*kind));
         let ahead_us: u64 = ahead.map(|(_, queued)| queued.work_us).sum();
-        (ahead_us + self.overall_run_us as u64) / u64::from(self.limit())
+        (ahead_us + self.run_times.overall_us()) / u64::from(self.limit())
     }
 
     /// Predicted time until the limit of a kind admits another request, in µs.
@@ -175,7 +164,7 @@
             return 0;
         }
         let ahead = self.queued.get(&(rank, kind)).map_or(0, |queued| queued.count);
-        u64::from(ahead + 1) * self.expected_us(kind) / u64::from(limit.max(1))
+        u64::from(ahead + 1) * self.run_times.expected_us(kind) / u64::from(limit.max(1))
     }
 
     fn refusal(&self, reason: Reason, rank: u8, kind: u32) -> AdmissionRefusal {
@@ -211,16 +200,6 @@
         let next = queue.find(|(_, waiting)| self.limits.may_start(waiting.kind));
         next.map(|(key, _)| *key)
     }
-
-    fn record_run_time(&mut self, kind: u32, run_us: u64) {
-        if self.mean_run_us.len() >= MAX_KINDS && !self.mean_run_us.contains_key(&kind) {
-            self.mean_run_us.clear();
-        }
-        let run_us = run_us as f64;
-        let mean = self.mean_run_us.entry(kind).or_insert(run_us);
-        *mean += (run_us - *mean) * RUN_TIME_WEIGHT;
-        self.overall_run_us += (run_us - self.overall_run_us) * RUN_TIME_WEIGHT;
-    }
 }
 
 impl AdmissionPolicy for SlotAdmission {
@@ -242,7 +221,7 @@
             self.start(ticket, kind);
             return AdmissionDecision::Run(ticket);
         }
-        let work_us = self.expected_us(kind);
+        let work_us = self.run_times.expected_us(kind);
         let needed_us = (work_us as f64 * self.settings.min_run_share) as u64;
         let wait_us = self.predicted_wait_us(rank, kind);
         let has_too_little_time = wait_us + needed_us > deadline_left_us;
@@ -265,17 +244,21 @@
     fn finish(&mut self, ticket: Ticket, result: &RunResult, now_us: u64) {
         let Some(kind) = self.running.remove(&ticket) else { return };
         let is_call_refused = result.outcome == RunOutcome::CallRefused;
-        self.limits.record_end(kind, is_call_refused, self.expected_us(kind), now_us);
+        self.limits.record_end(kind, is_call_refused, self.run_times.expected_us(kind), now_us);
         // The duration of an incomplete run is only a lower bound.
-        let is_longer = result.run_us > self.expected_us(kind);
+        let is_longer = result.run_us > self.run_times.expected_us(kind);
         match result.outcome {
-            RunOutcome::Answered => self.record_run_time(kind, result.run_us),
+            RunOutcome::Answered => {
+                self.run_times.record(kind, result.run_us);
+                self.longest_runs.record(kind, result.first_byte_us, now_us);
+            }
             RunOutcome::Failed | RunOutcome::Cancelled if is_longer => {
-                self.record_run_time(kind, result.run_us)
+                self.run_times.record(kind, result.run_us)
             }
             RunOutcome::Failed
             | RunOutcome::Cancelled
             | RunOutcome::Rejected
+            | RunOutcome::Unresponsive
             | RunOutcome::CallRefused => {}
         }
     }
@@ -314,6 +297,14 @@
         }
     }
 
+    fn silence_limit_us(&self, kind: u32) -> Option<u64> {
+        self.longest_runs.silence_limit_us(kind)
+    }
+
+    fn mean_run_time(&self, kind: u32) -> Option<MeanRunTime> {
+        self.run_times.reported(kind)
+    }
+
     fn advice(&self, _now_us: u64) -> AdmissionAdvice {
         let in_flight = (self.running.len() + self.queue.len()) as u32;
         let advice =
--- a/crates/policy/src/routing/load_router.rs
+++ b/crates/policy/src/routing/load_router.rs
@@ -9,7 +9,10 @@
 
 use crate::admission::shed_hash;
 use crate::admission::AdmissionAdvice;
+use crate::admission::MeanRunTime;
 use crate::routing::decaying_advice::DecayingAdvice;
+use crate::routing::slowness::KindMeans;
+use crate::routing::slowness::Slowness;
 use crate::routing::CallOutcome;
 use crate::routing::CallResult;
 use crate::routing::Candidate;
@@ -45,9 +48,12 @@
     /// Load added to every server before it is multiplied by the relative latency, as a share of
     /// the limit, so that the relative latency also counts for idle servers.
     pub idle_load: f64,
-    /// Time constant with which the relative latency of a server without new answers decays to 1,
-    /// in ms, so that a server that was slow is tried again.
-    pub relative_latency_time_constant_ms: u64,
+    /// Time constant with which the slowness of a server without new answers decays to 1, in ms, so
+    /// that a server that was slow is tried again.
+    pub slowness_time_constant_ms: u64,
+    /// The same for a slowness that the gate of the server reported. Gates average over the
+    /// requests of all nodes, so what they report is valid for longer.
+    pub reported_slowness_time_constant_ms: u64,
     /// Mean delay before a caller should retry when there is no server, in ms. The delays are
     /// spread between half and one and a half times this value.
     pub no_server_retry_ms: u64,
@@ -66,7 +72,8 @@
             failure_margin: 0.3,
             avoidance_ms: 1_000,
             idle_load: 0.25,
-            relative_latency_time_constant_ms: 4_000,
+            slowness_time_constant_ms: 4_000,
+            reported_slowness_time_constant_ms: 10_000,
             no_server_retry_ms: 500,
         }
     }
@@ -75,46 +82,28 @@
 /// Weight of the newest call in the moving average of the share of failed calls of a server.
 const NEWEST_FAILURE_WEIGHT: f64 = 1.0 / 12.0;
 
-/// Weight of the newest call in the moving averages of the relative latency of a server and of the
-/// latency of a kind of request.
-const NEWEST_LATENCY_WEIGHT: f64 = 1.0 / 16.0;
-
 /// Ratio of two costs below which the smaller cost counts as lower and not as a tie.
 const TIE_COST_RATIO: f64 = 0.97;
 
-/// Minimum relative latency of one call; smaller ones are clipped, so that a single call cannot
-/// dominate the average.
-const MIN_RELATIVE_LATENCY: f64 = 0.2;
-
-/// Maximum relative latency of one call; larger ones are clipped.
-const MAX_RELATIVE_LATENCY: f64 = 5.0;
-
-/// Maximum number of kinds of requests with a mean latency per service. When it is reached, a new
-/// kind discards all means.
-const MAX_REQUEST_KINDS: usize = 1_024;
+/// Exponent of the speed of a server in the probability that it is one of the two that are compared.
+/// With 1, two of three requests would still compare only the slow servers of a service in which one
+/// server in three is fast.
+const SPEED_EXPONENT: i32 = 2;
 
 /// The backend servers of one service.
 #[derive(Debug, Default)]
 struct ServicePool {
     servers: Vec<TrackedServer>,
-    /// Mean latency of answers by kind of request, in µs.
-    mean_latency_by_kind_us: HashMap<u32, f64>,
+    /// Latencies of answers, as measured by this node.
+    latencies: KindMeans,
 }
 
 impl ServicePool {
-    /// Computes the ratio of a latency to the mean of its kind of request, then adds the latency to
-    /// that mean.
-    fn relative_latency(&mut self, kind: u32, latency_us: u64) -> f64 {
-        if self.mean_latency_by_kind_us.len() >= MAX_REQUEST_KINDS
-            && !self.mean_latency_by_kind_us.contains_key(&kind)
-        {
-            self.mean_latency_by_kind_us.clear();
-        }
-        let latency_us = latency_us.max(1) as f64;
-        let mean_us = self.mean_latency_by_kind_us.entry(kind).or_insert(latency_us);
-        let ratio = (latency_us / *mean_us).clamp(MIN_RELATIVE_LATENCY, MAX_RELATIVE_LATENCY);
-        *mean_us += (latency_us - *mean_us) * NEWEST_LATENCY_WEIGHT;
-        ratio
+    /// Mean of the run times of a kind that the gates reported, in µs; 0 without reports.
+    fn mean_reported_us(&self, kind: u32) -> f64 {
+        let reports = self.servers.iter().filter_map(|server| server.slowness.reported_us(kind));
+        let (count, sum_us) = reports.fold((0_u32, 0.0), |(n, sum), us| (n + 1, sum + us as f64));
+        sum_us / f64::from(count.max(1))
     }
 }
 
@@ -139,9 +128,7 @@
     /// Moving average of the share of failed calls.
     failure_share: f64,
     avoided_until_us: u64,
-    /// Moving average of the latency relative to the mean of the kind of request.
-    relative_latency: f64,
-    relative_latency_updated_us: u64,
+    slowness: Slowness,
 }
 
 impl TrackedServer {
@@ -153,30 +140,25 @@
             reported_load: None,
             failure_share: 0.0,
             avoided_until_us: 0,
-            relative_latency: 1.0,
-            relative_latency_updated_us: 0,
+            slowness: Slowness::default(),
         }
     }
 
-    /// Latency relative to the mean of the kind of request over all servers of the service. Decays
-    /// to 1 while no answers arrive.
-    fn decayed_relative_latency(&self, settings: &LoadRouterSettings, now_us: u64) -> f64 {
-        let age_us = now_us.saturating_sub(self.relative_latency_updated_us) as f64;
-        let remaining =
-            (-age_us / (settings.relative_latency_time_constant_ms * 1_000).max(1) as f64).exp();
-        1.0 + (self.relative_latency - 1.0) * remaining
-    }
-
-    fn record_relative_latency(&mut self, ratio: f64, settings: &LoadRouterSettings, now_us: u64) {
-        let decayed = self.decayed_relative_latency(settings, now_us);
-        self.relative_latency = decayed + (ratio - decayed) * NEWEST_LATENCY_WEIGHT;
-        self.relative_latency_updated_us = now_us;
-    }
-
-    /// Cost of sending a request to the server, which grows with its load and its relative latency.
-    fn cost(&self, settings: &LoadRouterSettings, now_us: u64) -> f64 {
-        (self.load(settings, now_us) + settings.idle_load)
-            * self.decayed_relative_latency(settings, now_us)
+    /// The server as a choice for a request of a kind, whose reported run times have this mean over
+    /// the servers of the service. Its cost grows with its load and its slowness for that kind.
+    fn choice(
+        &self,
+        (kind, service_mean_us): (u32, f64),
+        penalty: f64,
+        settings: &LoadRouterSettings,
+        now_us: u64,
+    ) -> Choice {
+        let slowness = self.slowness.at(kind, service_mean_us, settings, now_us);
+        Choice {
+            instance: self.candidate.instance,
+            cost: (self.load(settings, now_us) + settings.idle_load) * slowness + penalty,
+            weight: slowness.powi(-SPEED_EXPONENT),
+        }
     }
 
     /// Load with one more call, as a share of the limit. Counts the calls in flight from this node,
@@ -213,6 +195,15 @@
     }
 }
 
+/// A server that a request may be sent to.
+#[derive(Debug, Clone, Copy)]
+struct Choice {
+    instance: InstanceId,
+    cost: f64,
+    /// Probability of being compared, relative to those of the other choices.
+    weight: f64,
+}
+
 /// Routes by the load of the servers.
 ///
 /// Intended for services whose requests differ a hundredfold in run time, so that the latency of a
@@ -246,20 +237,33 @@
     }
 
     /// Chooses the server with the lower cost of two random ones (Mitzenmacher, "The power of two
-    /// choices in randomized load balancing", 2001).
-    fn choose_from(&mut self, choices: &[(InstanceId, f64)]) -> Option<InstanceId> {
-        let (first, second) = match choices.len() {
-            0 => return None,
-            1 => (0, 0),
-            count => {
-                let first = self.rng.random_range(0..count);
-                (first, (first + self.rng.random_range(1..count)) % count)
-            }
-        };
-        let (first, second) = (choices.get(first)?, choices.get(second)?);
+    /// choices in randomized load balancing", 2001). Faster servers are more likely to be among the
+    /// two, since many nodes that all compared the same fast server with the same load report would
+    /// send their requests to it together.
+    fn choose_from(&mut self, choices: &[Choice]) -> Option<InstanceId> {
+        let first = self.draw(choices, None)?;
+        let second = self.draw(choices, Some(first)).unwrap_or(first);
         // Nearly equal costs are a tie that the random order decides. Otherwise a negligible
         // difference would send all requests to one server.
-        Some(if second.1 < first.1 * TIE_COST_RATIO { second.0 } else { first.0 })
+        let is_second_cheaper = second.cost < first.cost * TIE_COST_RATIO;
+        Some(if is_second_cheaper { second.instance } else { first.instance })
+    }
+
+    /// Draws one of the choices by weight, other than `excluded`.
+    fn draw<'a>(&mut self, choices: &'a [Choice], excluded: Option<&Choice>) -> Option<&'a Choice> {
+        let is_excluded =
+            |choice: &&Choice| excluded.is_none_or(|other| other.instance != choice.instance);
+        let total: f64 = choices.iter().filter(is_excluded).map(|choice| choice.weight).sum();
+        let mut left = self.rng.random_range(0.0..1.0) * total;
+        let mut last = None;
+        for choice in choices.iter().filter(is_excluded) {
+            left -= choice.weight;
+            last = Some(choice);
+            if left < 0.0 {
+                break;
+            }
+        }
+        last
     }
 }
 
@@ -322,13 +326,14 @@
         }
         prefer(&is_not_avoided);
         prefer(&|server| server.is_admitting(query, &settings, now_us));
-        let local_with_room: Vec<(InstanceId, f64)> = group
+        let kind = (query.kind, pool.mean_reported_us(query.kind));
+        let local_with_room: Vec<Choice> = group
             .iter()
             .filter(|server| {
                 let is_local = server.candidate.distance == Distance::Local;
                 is_local && server.load(&settings, now_us) < settings.max_local_load
             })
-            .map(|server| (server.candidate.instance, server.cost(&settings, now_us)))
+            .map(|server| server.choice(kind, 0.0, &settings, now_us))
             .collect();
         let all = group.iter().map(|server| {
             let penalty = match server.candidate.distance {
@@ -336,7 +341,7 @@
                 Distance::Region => settings.region_penalty,
                 Distance::Remote => settings.remote_penalty,
             };
-            (server.candidate.instance, server.cost(&settings, now_us) + penalty)
+            server.choice(kind, penalty, &settings, now_us)
         });
         let choices = if local_with_room.is_empty() { all.collect() } else { local_with_room };
         self.choose_from(&choices).map_or(none, RouteDecision::Use)
@@ -358,7 +363,7 @@
         let settings = self.settings;
         let Some(pool) = self.services.get_mut(service) else { return };
         let ratio = match result.outcome {
-            CallOutcome::Answered => Some(pool.relative_latency(result.kind, result.latency_us)),
+            CallOutcome::Answered => Some(pool.latencies.ratio(result.kind, result.latency_us)),
             _ => None,
         };
         let servers = &mut pool.servers;
@@ -370,7 +375,7 @@
         };
         server.in_flight = server.in_flight.saturating_sub(1);
         if let Some(ratio) = ratio {
-            server.record_relative_latency(ratio, &settings, now_us);
+            server.slowness.record_latency(ratio, &settings, now_us);
         }
         let failed = match result.outcome {
             CallOutcome::Answered => 0.0,
@@ -405,6 +410,18 @@
         }
     }
 
+    fn record_run_time(
+        &mut self,
+        service: &str,
+        target: InstanceId,
+        run_time: &MeanRunTime,
+        now_us: u64,
+    ) {
+        if let Some(server) = self.server(service, target) {
+            server.slowness.record_report(run_time, now_us);
+        }
+    }
+
     fn set_peer_state(&mut self, target: InstanceId, state: PeerState, _now_us: u64) {
         match state {
             PeerState::Unproven => self.peer_states.remove(&target),
--- a/crates/policy/src/routing/load_router/tests.rs
+++ b/crates/policy/src/routing/load_router/tests.rs
@@ -39,6 +39,7 @@
         request_id: RequestId { instance: InstanceId(1), counter: 1 },
         rank: 1,
         excluded,
+        kind: 0,
         needs_proven_connection: false,
     };
     match router.choose(&query, now_us) {
--- a/crates/policy/src/routing/mod.rs
+++ b/crates/policy/src/routing/mod.rs
@@ -9,6 +9,7 @@
 mod round_robin_router;
 mod server_pool;
 mod settings;
+mod slowness;
 mod spillover;
 mod weighted_round_robin;
 
--- a/crates/policy/src/routing/policy.rs
+++ b/crates/policy/src/routing/policy.rs
@@ -4,6 +4,7 @@
 use tarragon_model::member::BackendState;
 
 use crate::admission::AdmissionAdvice;
+use crate::admission::MeanRunTime;
 
 /// Distance of a backend server from the routing node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -47,6 +48,8 @@
     pub request_id: RequestId,
     /// Importance rank.
     pub rank: u8,
+    /// Identifier of the kind of request, 0 if unknown.
+    pub kind: u32,
     /// Instances already tried for this request.
     pub excluded: &'a [InstanceId],
     /// Whether the request must not be repeated. It then uses a [`PeerState::Proven`] connection if
@@ -125,6 +128,17 @@
         now_us: u64,
     );
 
+    /// Records the mean run time of a kind of request that a gate reported. Policies that measure
+    /// latencies only ignore it.
+    fn record_run_time(
+        &mut self,
+        _service: &str,
+        _target: InstanceId,
+        _run_time: &MeanRunTime,
+        _now_us: u64,
+    ) {
+    }
+
     /// Records the state of the connection to a peer.
     fn set_peer_state(&mut self, target: InstanceId, state: PeerState, now_us: u64);
 }
--- a/crates/policy/src/routing/tests.rs
+++ b/crates/policy/src/routing/tests.rs
@@ -35,7 +35,14 @@
 
 fn query(counter: u64, rank: u8, excluded: &[InstanceId]) -> RouteQuery<'_> {
     let request_id = RequestId { instance: InstanceId(7), counter };
-    RouteQuery { service: SERVICE, request_id, rank, excluded, needs_proven_connection: false }
+    RouteQuery {
+        service: SERVICE,
+        request_id,
+        rank,
+        kind: 0,
+        excluded,
+        needs_proven_connection: false,
+    }
 }
 
 fn adaptive(settings: AdaptiveRouterSettings) -> Box<dyn RoutePolicy> {
