Remember the departure of a backend server that is not known yet

Cause: a departure was recorded only for the process whose announcements came last. A node that has just restarted knows none, so it acknowledged the departure and forgot it; an announcement that was sent before and arrived later brought the server back into use.

Not covered: a node that restarts after it acknowledged the departure has no memory of it; see docs/PROOFS.md.

--- a/crates/datapath/src/backend/announcement_tracker.rs
+++ b/crates/datapath/src/backend/announcement_tracker.rs
@@ -38,12 +38,25 @@
     /// Identity in the latest announcement of the latest process that identified itself. It is kept
     /// after that process has left, so that late announcements are still recognised.
     latest_identity: Option<ServerIdentity>,
-    /// Whether the latest process has announced that it is leaving.
-    is_leaving: bool,
+    /// Latest process that has announced that it is leaving. It may be unknown otherwise: if this
+    /// node has just started, the first thing it hears of a process may be its departure, and late
+    /// announcements of that process may follow.
+    departure: Option<Departure>,
     expires_at: Option<Instant>,
     is_drained_by_operator: bool,
 }
 
+struct Departure {
+    id: String,
+    started_at_ms: u64,
+}
+
+impl Departure {
+    fn includes(&self, server: &ServerIdentity) -> bool {
+        self.id == server.id && server.started_at_ms <= self.started_at_ms
+    }
+}
+
 impl Default for AnnouncementTracker {
     fn default() -> Self {
         let (status, _) = watch::channel(BackendStatus::absent());
@@ -84,17 +97,21 @@
     }
 
     /// Records that a backend server process accepts no more requests and will exit. Requests in
-    /// progress continue. Returns false if a later process has replaced it.
+    /// progress continue. Returns false if it is not the process whose announcements were recorded
+    /// last.
     pub fn mark_leaving(&self, id: &str, started_at_ms: Option<u64>) -> bool {
         let now = Instant::now();
         let mut state = self.state.lock().expect("no thread panics while it holds the lock");
-        let is_latest = state.latest_identity.as_ref().is_some_and(|latest| {
-            latest.id == id && started_at_ms.is_none_or(|at| at == latest.started_at_ms)
-        });
-        if !is_latest {
+        let latest = state.latest_identity.as_ref();
+        let latest_start_ms = latest.filter(|latest| latest.id == id).map(|l| l.started_at_ms);
+        let Some(started_at_ms) = started_at_ms.or(latest_start_ms) else { return false };
+        if latest.is_some_and(|latest| latest.started_at_ms > started_at_ms) {
+            return false;
+        }
+        state.departure = Some(Departure { id: id.to_string(), started_at_ms });
+        if latest_start_ms != Some(started_at_ms) {
             return false;
         }
-        state.is_leaving = true;
         if let Some(announcement) = &mut state.announcement {
             announcement.draining = true;
         }
@@ -154,12 +171,10 @@
     /// Records the identity in an announcement. Returns false if the announcement is older than the
     /// latest one or its process has left.
     fn accept_identity(&mut self, server: &ServerIdentity) -> bool {
-        if let Some(latest) = &self.latest_identity {
-            let is_same_process = latest.started_at_ms == server.started_at_ms;
-            if server.is_before(latest) || (is_same_process && self.is_leaving) {
-                return false;
-            }
-            self.is_leaving &= is_same_process;
+        let has_left = self.departure.as_ref().is_some_and(|departure| departure.includes(server));
+        if has_left || self.latest_identity.as_ref().is_some_and(|latest| server.is_before(latest))
+        {
+            return false;
         }
         self.latest_identity = Some(server.clone());
         true
--- a/crates/datapath/tests/announcements.rs
+++ b/crates/datapath/tests/announcements.rs
@@ -117,3 +117,29 @@
     })
     .await;
 }
+
+/// Guards against new work for a backend server that has left: its departure is the first that a
+/// node hears after its own restart, and announcements that were sent before arrive later.
+#[test]
+fn a_departure_before_the_first_announcement_is_remembered() {
+    let identity =
+        |started_at_ms, sequence| ServerIdentity { id: "i-7".into(), started_at_ms, sequence };
+    let announce = |announcements: &AnnouncementTracker, started_at_ms, sequence| {
+        let server = Some(identity(started_at_ms, sequence));
+        announcements.announce(Announcement { cold_start_ms: 0, server, ..announcement() })
+    };
+    let restarted = AnnouncementTracker::default();
+    assert!(!restarted.mark_leaving("i-7", Some(5_000)), "the process is not known yet");
+    assert!(!announce(&restarted, 5_000, 9), "a late announcement of the departed process");
+    assert_eq!(restarted.current_status().state, BackendState::Absent);
+    assert!(announce(&restarted, 6_000, 1), "its successor with the same id");
+    assert_eq!(restarted.current_status().state, BackendState::Ready);
+
+    // The same for a successor whose announcements were all delayed.
+    let announcements = AnnouncementTracker::default();
+    assert!(announce(&announcements, 5_000, 9));
+    assert!(!announcements.mark_leaving("i-7", Some(6_000)));
+    assert!(!announce(&announcements, 6_000, 1), "a late announcement of the departed successor");
+    assert!(!announcements.mark_leaving("i-7", Some(4_000)), "a late departure of a predecessor");
+    assert!(announce(&announcements, 7_000, 1));
+}
