Answer the callers in the backlog of a stopping listener

Cause: at a stop the listener was closed at once. Connections that were established but not accepted yet were reset, and new connections whose first request had not been read were closed (hyper takes a new connection for idle), so requests just sent were cut off without an answer. A new connection without any request could also hold the stop for 300 s.

Change: the backlog is emptied after the stop, a new connection has 500 ms for its first request, and every response after the stop says that the connection closes.

--- a/crates/datapath/src/transport/accept.rs
+++ b/crates/datapath/src/transport/accept.rs
@@ -12,9 +12,19 @@
 /// and interval at which the number of open connections is checked while it is at its limit.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Time without a new connection after which the backlog counts as empty at a stop.
+const BACKLOG_QUIET_TIME: Duration = Duration::from_millis(5);
+
+/// Maximum number of connections that are accepted after a stop, so that a stop under constant load
+/// ends.
+const MAX_ACCEPTED_AFTER_STOP: usize = 1_024;
+
 /// Accepts connections until stopped, then closes the listener and waits for the tasks of all
 /// connections.
 ///
+/// Connections in the backlog at the stop are still served: their callers have sent requests
+/// already, which would otherwise be cut off without an answer.
+///
 /// While `max_connections` are open, further ones wait in the backlog. `serve` also receives the
 /// tracker, in which a connection can spawn its own tasks.
 pub(crate) async fn accept_connections<F>(
@@ -44,6 +54,19 @@
             }
         }
     }
+    for _ in 0..MAX_ACCEPTED_AFTER_STOP {
+        match tokio::time::timeout(BACKLOG_QUIET_TIME, listener.accept()).await {
+            Ok(Ok((stream, remote_address))) => {
+                let _ = stream.set_nodelay(true);
+                tracker.spawn(serve(stream, remote_address, tracker.clone()));
+            }
+            Ok(Err(e)) => {
+                debug!("kernel: cannot accept a connection: {e}");
+                break;
+            }
+            Err(_) => break,
+        }
+    }
     drop(listener);
     tracker.close();
     tracker.wait().await;
--- a/crates/datapath/src/transport/http1_listener.rs
+++ b/crates/datapath/src/transport/http1_listener.rs
@@ -1,10 +1,14 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use error_stack::Report;
+use http::header::CONNECTION;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
@@ -26,6 +30,10 @@
 /// close pooled connections of callers with little traffic.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(300);
 
+/// Time that a caller has at a stop for the first request on a new connection. A caller that has
+/// connected usually sends a request at once, but one that sends nothing must not delay the stop.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Handles the requests of an HTTP/1.1 listener.
 #[async_trait]
 pub trait Http1Handler: Send + Sync + 'static {
@@ -83,10 +91,19 @@
         max_header_bytes: usize,
         stop: CancellationToken,
     ) {
+        let has_request = Arc::new(AtomicBool::new(false));
+        let (requested, stopped) = (Arc::clone(&has_request), stop.clone());
         let service = service_fn(move |mut request: Request<Incoming>| {
-            let handler = Arc::clone(&handler);
+            let (handler, stopped) = (Arc::clone(&handler), stopped.clone());
+            requested.store(true, Ordering::Relaxed);
             request.extensions_mut().insert(RemoteAddress(remote_address));
-            async move { Ok::<_, Infallible>(handler.handle(request).await) }
+            async move {
+                let mut response = handler.handle(request).await;
+                if stopped.is_cancelled() {
+                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                Ok::<_, Infallible>(response)
+            }
         });
         // The handler refuses headers over the limit with an outcome header. hyper refuses headers
         // that exceed its buffer without one, so the buffer is larger than the limit and only
@@ -98,10 +115,25 @@
             .serve_connection(stream, service);
         tokio::pin!(connection);
         let result = tokio::select! {
+            // A request that has arrived already is read before the connection is shut down.
+            biased;
             result = connection.as_mut() => result,
             () = stop.cancelled() => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
+                // hyper would close a new connection at once, also if its first request is on its
+                // way.
+                let is_new = !has_request.load(Ordering::Relaxed);
+                let limit = if is_new { FIRST_REQUEST_TIMEOUT } else { Duration::ZERO };
+                match tokio::time::timeout(limit, connection.as_mut()).await {
+                    Ok(result) => result,
+                    Err(_) if has_request.load(Ordering::Relaxed) => {
+                        connection.as_mut().graceful_shutdown();
+                        connection.await
+                    }
+                    Err(_) => {
+                        debug!(%remote_address, "entry: closing a connection without a request");
+                        return;
+                    }
+                }
             }
         };
         if let Err(e) = result {
