Wait for the answer of a peer that is only paused

Cause: when a heartbeat on a connection between nodes stayed unanswered for 1.5 s, the connection was closed with its calls. Work that may run only once was running at a peer that was merely paused; its answer came 2 s later and was thrown away, and the caller was told that the outcome is unknown.

Change: a silent connection gets no new calls, but calls that may run only once keep it open. The peer is asked over a new connection: if it has not started the call, the call is fenced and sent again as before; if it has, the answer has one more heartbeat timeout to arrive; if the peer does not answer at all, the caller's deadline ends the wait. Idempotent requests still run elsewhere at once, within the retry ratio; responses that are being streamed still end with the heartbeat timeout.

the_response_of_a_paused_peer_is_delivered_when_it_goes_on failed before (unknown, connection-lost). a_started_request_on_a_silent_connection_is_unknown and a_request_lost_on_a_silent_connection_runs_once hold.

--- a/crates/datapath/src/entry/forwarder.rs
+++ b/crates/datapath/src/entry/forwarder.rs
@@ -397,6 +397,11 @@
                 Reason::NoServer.into()
             }
             PeerCallError::DeadlinePassed => Reason::DeadlinePassed.into(),
+            PeerCallError::Fenced => {
+                self.retry().return_tokens(call.ledger_span, tokens);
+                Reason::Fenced.into()
+            }
+            PeerCallError::Started => Reason::ConnectionLost.into(),
             PeerCallError::ConnectionLost if call.is_idempotent => Reason::ConnectionLost.into(),
             PeerCallError::ConnectionLost => {
                 let key = call.attempt_key(attempt);
--- a/crates/datapath/src/peer/managed_connection.rs
+++ b/crates/datapath/src/peer/managed_connection.rs
@@ -67,7 +67,7 @@
         loop {
             let current_status = status.borrow_and_update().clone();
             match current_status {
-                ConnectionStatus::Connected(connection) if !connection.closed.is_cancelled() => {
+                ConnectionStatus::Connected(connection) if !connection.silent.is_cancelled() => {
                     return Some(connection)
                 }
                 ConnectionStatus::Connected(_) | ConnectionStatus::Connecting => {}
@@ -105,7 +105,7 @@
                     self.status.send_replace(ConnectionStatus::Connected(Arc::clone(&connection)));
                     backoff = Duration::from_millis(shared.settings.reconnect_interval_ms);
                     let end_reason = self.monitor(&connection, &peer, &shared).await;
-                    connection.closed.cancel();
+                    connection.silent.cancel();
                     end_reason
                 }
                 Err(e) => {
@@ -188,7 +188,7 @@
         loop {
             tokio::select! {
                 () = shared.stop.cancelled() => return EndReason::Stopped,
-                () = connection.closed.cancelled() => return EndReason::Failed,
+                () = connection.silent.cancelled() => return EndReason::Failed,
                 () = tokio::time::sleep(interval / 2) => {}
             }
             // This task and the status hold two references; any other belongs to a call in flight.
@@ -214,6 +214,7 @@
                 }
                 Ok(Err(e)) => {
                     debug!("route: heartbeat to {} failed: {e}", peer.instance);
+                    connection.closed.cancel();
                     return EndReason::Failed;
                 }
                 // Another response on the connection shows that it works.
@@ -226,8 +227,8 @@
     }
 
     /// Sends a heartbeat. If the response is late, other backend servers are preferred for new
-    /// calls. The connection stays open until the heartbeat timeout, because calls that are lost
-    /// with it may have run.
+    /// calls. The connection is used until the heartbeat timeout, because idempotent calls that are
+    /// given up with it may have run.
     async fn heartbeat(
         &self,
         connection: &PeerConnection,
--- a/crates/datapath/src/peer/peer_body.rs
+++ b/crates/datapath/src/peer/peer_body.rs
@@ -23,7 +23,7 @@
 
 impl PeerBody {
     pub(crate) fn new(incoming: Incoming, connection: Arc<PeerConnection>) -> Self {
-        let closed = Box::pin(connection.closed.clone().cancelled_owned());
+        let closed = Box::pin(connection.silent.clone().cancelled_owned());
         Self { incoming, closed, connection }
     }
 }
--- a/crates/datapath/src/peer/peer_connection.rs
+++ b/crates/datapath/src/peer/peer_connection.rs
@@ -37,6 +37,10 @@
     pub(crate) sender: SendRequest<Body>,
     /// Cancelled when the connection has failed, or to close it.
     pub(crate) closed: CancellationToken,
+    /// Cancelled when the peer does not answer on the connection in time, and when it is closed. No
+    /// new call uses the connection then. Calls in flight that may run only once keep it open, since
+    /// a peer that was only paused still answers them.
+    pub(crate) silent: CancellationToken,
     address: SocketAddr,
     instance: InstanceId,
     /// Time of the last response on this connection, in µs; 0 if there was none.
@@ -69,6 +73,7 @@
             .await
             .map_err(|e| e.to_string())?;
         let closed = CancellationToken::new();
+        let silent = closed.child_token();
         let task_closed = closed.clone();
         tracker.spawn(async move {
             tokio::select! {
@@ -80,7 +85,7 @@
             task_closed.cancel();
         });
         let last_response_us = AtomicU64::new(0);
-        Ok(Self { sender, closed, address, instance, last_response_us, clock })
+        Ok(Self { sender, closed, silent, address, instance, last_response_us, clock })
     }
 
     /// Records that the peer responded now.
@@ -147,7 +152,7 @@
     ) -> Result<Response<Incoming>, String> {
         let mut sender = self.sender.clone();
         tokio::select! {
-            () = self.closed.cancelled() => Err("the connection was closed".into()),
+            () = self.silent.cancelled() => Err("the connection was closed".into()),
             response = sender.send_request(request) => {
                 let response = response.map_err(|e| e.to_string())?;
                 if response.status().is_success() {
--- a/crates/datapath/src/peer/peer_pool.rs
+++ b/crates/datapath/src/peer/peer_pool.rs
@@ -1,5 +1,7 @@
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::RwLock;
@@ -14,6 +16,7 @@
 use http::Uri;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use tarragon_model::call::headers;
 use tarragon_model::call::CallContext;
 use tarragon_model::call::Outcome;
@@ -58,6 +61,11 @@
     /// The request was sent and then the connection was lost, or the response belongs to another
     /// request.
     ConnectionLost,
+    /// The connection became silent, and the peer has fenced the request: it did not run and never
+    /// will.
+    Fenced,
+    /// The connection became silent, and the peer has started the request. Its response is lost.
+    Started,
     /// The deadline passed after the request was sent.
     DeadlinePassed,
 }
@@ -199,17 +207,28 @@
             self.usable_connection(&peer, class, deadline, needs_recent_response).await;
         let connection = connection.ok_or(PeerCallError::Unsent)?;
         let expected_ids = (header_value(&call.context.request_id.to_string()), call.attempt);
+        let CallContext { request_id, span, .. } = call.context;
+        let attempt_key = AttemptKey { request_id, span, attempt: call.attempt };
         let request = self.peer_request(call, &peer);
         // At the deadline the gate itself ends the call and reports whether it ran, so the node
         // waits a little longer for that response.
         let grace = Duration::from_millis(self.shared.settings.response_grace_ms);
         let mut sender = connection.sender.clone();
+        let mut pending = PendingResponse {
+            response: Box::pin(sender.try_send_request(request)),
+            closed: connection.closed.clone(),
+            last_wait: deadline + grace,
+        };
         let response = tokio::select! {
             biased;
-            response = sender.try_send_request(request) => response,
-            () = connection.closed.cancelled() => return Err(PeerCallError::ConnectionLost),
-            () = tokio::time::sleep_until((deadline + grace).into()) => {
-                return Err(PeerCallError::DeadlinePassed);
+            response = pending.wait() => response?,
+            () = connection.silent.cancelled(), if !needs_recent_response => {
+                // An idempotent request runs elsewhere instead, within the retry ratio.
+                return Err(PeerCallError::ConnectionLost);
+            }
+            () = connection.silent.cancelled() => {
+                self.wait_on_silent_connection(&mut pending, target, class, attempt_key, deadline)
+                    .await?
             }
         };
         let response = response.map_err(|mut e| match e.take_message() {
@@ -231,6 +250,35 @@
         Ok(gate_response)
     }
 
+    /// Waits for the response to a request that may run only once, after its connection became
+    /// silent. The peer may only be paused, and answers it later; or the connection has lost its
+    /// path. The peer is asked over a new connection which of both is the case.
+    async fn wait_on_silent_connection(
+        &self,
+        pending: &mut PendingResponse<'_>,
+        target: InstanceId,
+        class: WorkClass,
+        attempt: AttemptKey,
+        deadline: Instant,
+    ) -> Result<SendResult, PeerCallError> {
+        let answer = tokio::select! {
+            biased;
+            response = pending.wait() => return response,
+            answer = self.request_fence(target, class, attempt, deadline) => answer,
+        };
+        match answer {
+            Some(true) => Err(PeerCallError::Fenced),
+            Some(false) => {
+                let limit = Duration::from_millis(self.shared.settings.heartbeat_timeout_ms);
+                match tokio::time::timeout(limit, pending.wait()).await {
+                    Ok(response) => response,
+                    Err(_) => Err(PeerCallError::Started),
+                }
+            }
+            None => pending.wait().await,
+        }
+    }
+
     /// Returns a connection. If `needs_recent_response` is set, the peer has responded on it within
     /// the last heartbeat interval. Returns `None` if there is no such connection before the
     /// deadline.
@@ -256,7 +304,7 @@
                 _ if Instant::now() >= deadline => return None,
                 // The connection is replaced; the new one is checked with a heartbeat when it is
                 // opened.
-                _ => connection.closed.cancel(),
+                _ => connection.silent.cancel(),
             }
         }
     }
@@ -306,12 +354,23 @@
         attempt: AttemptKey,
         deadline: Instant,
     ) -> bool {
+        self.request_fence(target, class, attempt, deadline).await == Some(true)
+    }
+
+    /// Requests a gate to fence an attempt. Returns whether the attempt is fenced, or `None` if the
+    /// gate does not answer.
+    async fn request_fence(
+        &self,
+        target: InstanceId,
+        class: WorkClass,
+        attempt: AttemptKey,
+        deadline: Instant,
+    ) -> Option<bool> {
         // The caller waits for the outcome no longer than until its deadline.
         let limit = Instant::now() + Duration::from_millis(self.shared.settings.fence_timeout_ms);
         let limit = limit.min(deadline);
-        let Some(peer) = self.find(target) else { return false };
-        let connection = peer.connection_for(class).acquire(&peer, &self.shared, limit).await;
-        let Some(connection) = connection else { return false };
+        let peer = self.find(target)?;
+        let connection = peer.connection_for(class).acquire(&peer, &self.shared, limit).await?;
         let left_ms = crate::datapath::remaining_us(deadline) / 1_000;
         let mut extra_headers: Vec<(HeaderName, String)> = vec![
             (headers::REQUEST_ID, attempt.request_id.to_string()),
@@ -326,8 +385,8 @@
             connection.signed_request(Method::POST, FENCE_PATH, empty(), auth, &extra_headers);
         let sending = connection.send_control(request);
         match tokio::time::timeout_at(limit.into(), sending).await {
-            Ok(Ok(response)) => parse_outcome(response.headers()) == Some(Outcome::NotRun),
-            _ => false,
+            Ok(Ok(response)) => Some(parse_outcome(response.headers()) == Some(Outcome::NotRun)),
+            _ => None,
         }
     }
 
@@ -340,6 +399,29 @@
     }
 }
 
+type SendResult = Result<Response<Incoming>, TrySendError<Request<Body>>>;
+
+/// A request on a connection to a peer that has no response yet.
+struct PendingResponse<'a> {
+    response: Pin<Box<dyn Future<Output = SendResult> + Send + 'a>>,
+    closed: CancellationToken,
+    /// Time after which no response is expected.
+    last_wait: Instant,
+}
+
+impl PendingResponse<'_> {
+    async fn wait(&mut self) -> Result<SendResult, PeerCallError> {
+        tokio::select! {
+            biased;
+            response = self.response.as_mut() => Ok(response),
+            () = self.closed.cancelled() => Err(PeerCallError::ConnectionLost),
+            () = tokio::time::sleep_until(self.last_wait.into()) => {
+                Err(PeerCallError::DeadlinePassed)
+            }
+        }
+    }
+}
+
 fn parse_number(map: &HeaderMap, name: HeaderName) -> Option<u64> {
     map.get(name)?.to_str().ok()?.parse().ok()
 }
--- a/crates/datapath/tests/datapath/lost.rs
+++ b/crates/datapath/tests/datapath/lost.rs
@@ -99,6 +99,42 @@
     assert_eq!(reply.outcome(), "answered", "the connection was not replaced");
 }
 
+/// Guards against giving up a request that runs at a peer which is only paused: its response is
+/// delivered when the peer goes on, long after the heartbeat timeout, and it runs once.
+#[tokio::test]
+async fn the_response_of_a_paused_peer_is_delivered_when_it_goes_on() {
+    let started = Arc::new(Notify::new());
+    let notify_start = Arc::clone(&started);
+    let backend = FakeBackend::start(move |request| {
+        let notify_start = Arc::clone(&notify_start);
+        async move {
+            if request.method() == "POST" {
+                notify_start.notify_one();
+                tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+            }
+            text_response("weighed")
+        }
+    })
+    .await;
+    let cluster = cluster_with_short_heartbeats();
+    let (_owner, relay) = node_behind_relay(&cluster, &backend).await;
+    let entry = cluster.start_node("entry", None).await;
+    wait_until_answered(&entry).await;
+    let before = backend.count();
+    let running = request(entry.caller, "POST", "/weigh", &[], "12 kg");
+    let pause = async {
+        started.notified().await;
+        relay.set_paused(true);
+        while entry.metrics.read("route.connection_lost") == 0 {
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+        }
+        relay.set_paused(false);
+    };
+    let (reply, ()) = tokio::join!(running, pause);
+    assert_eq!((reply.outcome(), reply.text().as_str()), ("answered", "weighed"));
+    assert_eq!(backend.count(), before + 1);
+}
+
 /// Guards against requests that are sent to an unresponsive peer until the heartbeat timeout of its
 /// connection. Other peers are preferred as soon as a heartbeat response is late, and the
 /// connection stays open.
