Let a replica go on when its disk works again

Cause: after a failed write a replica stopped for the rest of its process. A disk that was full for four seconds so cost a voter for good, and two of them in turn the majority of four.

Change: the driver opens the failed store again every 500 ms. What was not synced is cut off, since after a failed sync the system may show data that is not on the disk; opening ends with a write, so that a disk that is still full is not taken for a working one; a directory without its metadata is refused, which would otherwise have become an empty log under the old disk id (the new test found this). The replica then starts from what was synced, as after a restart; the state machine keeps its state and skips what it has applied.

a_replica_takes_part_again_when_its_storage_works_again and a_failed_store_can_be_opened_again_with_what_was_synced; a_replica_stops_when_storage_fails holds unchanged. Not shown: a real process on a full file system.

--- a/crates/consensus/src/driver/replica_driver.rs
+++ b/crates/consensus/src/driver/replica_driver.rs
@@ -6,6 +6,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::task::JoinError;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
@@ -37,6 +38,10 @@
 /// Maximum number of inputs handled before a write is started, so that they share one sync.
 const MAX_INPUT_BATCH: usize = 128;
 
+/// Time after a storage failure, and between attempts to open the store again. A full disk often has
+/// space again after some seconds.
+const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Ticks per heartbeat interval, so that a heartbeat is late by at most a quarter of it.
 const TICKS_PER_HEARTBEAT: u64 = 4;
 
@@ -61,6 +66,13 @@
 /// Task that runs a replica.
 pub struct ReplicaDriver {
     replica: Replica,
+    id: ReplicaId,
+    settings: RaftSettings,
+    /// Random seed of the current replica, which changes when the store is opened again.
+    seed: u64,
+    /// Index of the last command that the state machine has applied or restored. It is ahead of the
+    /// replica after the store was opened again.
+    applied_index: u64,
     state_machine: Box<dyn StateMachine>,
     transport: Arc<dyn ReplicaTransport>,
     storage: StorageWriter,
@@ -72,15 +84,24 @@
     started_at: Instant,
 }
 
-/// The store, which is either idle or used by a write on another thread.
+/// End of an operation of the store.
+enum StorageEvent {
+    /// The number of the last synced request.
+    Written(Result<u64, Report<StorageError>>),
+    /// The state that the store holds after it was opened again.
+    Reopened(Result<RecoveredState, Report<StorageError>>),
+}
+
+/// The store, which is idle, used by a write on another thread, or being opened again.
 struct StorageWriter {
     idle_store: Option<Box<dyn LogStore>>,
     queued_requests: Vec<PersistRequest>,
-    running_write: Option<JoinHandle<WriteOutcome>>,
+    running_write: Option<JoinHandle<StoreOutcome<u64>>>,
+    running_reopen: Option<JoinHandle<StoreOutcome<RecoveredState>>>,
 }
 
-/// Outcome of a write: the store, and the number of the last synced request.
-type WriteOutcome = (Box<dyn LogStore>, Result<u64, Report<StorageError>>);
+/// Outcome of an operation: the store and the result.
+type StoreOutcome<T> = (Box<dyn LogStore>, Result<T, Report<StorageError>>);
 
 impl ReplicaDriver {
     /// Restores the state machine and prepares the task. Call it inside a tokio runtime.
@@ -104,17 +125,23 @@
         }
         let tick_interval =
             Duration::from_millis((settings.heartbeat_interval_ms / TICKS_PER_HEARTBEAT).max(1));
-        let replica = Replica::new(id, settings, recovered, seed, 0);
+        let applied_index = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let replica = Replica::new(id.clone(), settings.clone(), recovered, seed, 0);
         let (input_sender, inputs) = mpsc::channel(INPUT_QUEUE_CAPACITY);
         let (status, status_receiver) = watch::channel(replica.status());
         let driver = Self {
             replica,
+            id,
+            settings,
+            seed,
+            applied_index,
             state_machine,
             transport,
             storage: StorageWriter {
                 idle_store: Some(store),
                 queued_requests: Vec::new(),
                 running_write: None,
+                running_reopen: None,
             },
             inputs,
             status,
@@ -126,8 +153,9 @@
         Ok((driver, ReplicaHandle::new(input_sender, status_receiver)))
     }
 
-    /// Runs until `stop` is cancelled, then waits for a write in progress. A storage failure does
-    /// not end the task: the replica stops participating and rejects requests.
+    /// Runs until `stop` is cancelled, then waits for a write in progress. After a storage failure,
+    /// for example on a full disk, the replica stops participating and rejects requests until the
+    /// store can be opened again. It then goes on with what was synced, as after a restart.
     ///
     /// # Errors
     /// `RestoreError` if a snapshot from the leader cannot be restored.
@@ -138,7 +166,10 @@
         let result = loop {
             let step_result = tokio::select! {
                 () = stop.cancelled() => break Ok(()),
-                written = self.storage.wait_for_write() => self.handle_write_outcome(written),
+                event = self.storage.wait() => match event {
+                    StorageEvent::Written(written) => self.handle_write_outcome(written),
+                    StorageEvent::Reopened(reopened) => self.handle_reopen_outcome(reopened),
+                },
                 _ = ticks.tick() => self.step(ReplicaEvent::Tick),
                 count = self.inputs.recv_many(&mut batch, MAX_INPUT_BATCH) => match count {
                     0 => break Ok(()),
@@ -154,6 +185,9 @@
         if let Some(running_write) = self.storage.running_write.take() {
             let _ = running_write.await;
         }
+        if let Some(running_reopen) = self.storage.running_reopen.take() {
+            let _ = running_reopen.await;
+        }
         result
     }
 
@@ -192,16 +226,45 @@
             Ok(sequence) => self.step(ReplicaEvent::Stored(sequence)),
             Err(report) => {
                 tracing::error!("log: storage failed, the replica stops: {report:?}");
-                self.step(ReplicaEvent::StorageFailed)
+                self.step(ReplicaEvent::StorageFailed)?;
+                self.storage.start_reopen();
+                Ok(())
             }
         }
     }
 
+    fn handle_reopen_outcome(
+        &mut self,
+        reopened: Result<RecoveredState, Report<StorageError>>,
+    ) -> Result<(), Report<RestoreError>> {
+        match reopened {
+            Ok(recovered) => {
+                tracing::info!("log: the storage works again, the replica goes on");
+                // With another seed, its elections do not repeat the timing of earlier ones.
+                self.seed = self.seed.wrapping_add(1);
+                let (id, settings) = (self.id.clone(), self.settings.clone());
+                self.replica = Replica::new(id, settings, recovered, self.seed, self.now_ms());
+                self.step(ReplicaEvent::Tick)
+            }
+            Err(report) => {
+                tracing::warn!("log: the storage still fails: {report}");
+                self.storage.start_reopen();
+                Ok(())
+            }
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
     fn step(&mut self, event: ReplicaEvent) -> Result<(), Report<RestoreError>> {
-        let now_ms = u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let now_ms = self.now_ms();
         let actions = self.replica.step(event, now_ms);
         self.execute_actions(actions)?;
-        if self.replica.is_snapshot_due() {
+        // A snapshot of a state machine that is ahead would be stored under a lower index.
+        let is_ahead = self.applied_index > self.replica.applied_index();
+        if !is_ahead && self.replica.is_snapshot_due() {
             let data = self.state_machine.snapshot();
             let actions = self.replica.step(ReplicaEvent::SnapshotTaken { data }, now_ms);
             self.execute_actions(actions)?;
@@ -217,7 +280,10 @@
                     self.transport.send(&peer, message);
                 }
                 ReplicaAction::Persist(request) => self.storage.queued_requests.push(request),
+                // The state machine keeps its state while the store is opened again.
+                ReplicaAction::Apply { index, .. } if index <= self.applied_index => {}
                 ReplicaAction::Apply { index, command, request } => {
+                    self.applied_index = index;
                     let result = self.state_machine.apply(index, &command);
                     if let Some(request) = request {
                         self.send_reply(request, Ok(result));
@@ -226,7 +292,10 @@
                 ReplicaAction::CompleteRequest { request, outcome } => {
                     self.send_reply(request, result_from_outcome(outcome))
                 }
+                ReplicaAction::InstallSnapshot(snapshot)
+                    if snapshot.index <= self.applied_index => {}
                 ReplicaAction::InstallSnapshot(snapshot) => {
+                    self.applied_index = snapshot.index;
                     self.state_machine.restore(&snapshot.data)?
                 }
             }
@@ -280,20 +349,43 @@
         }));
     }
 
-    /// Waits for the running write, or forever if there is none. Cancellation-safe.
-    async fn wait_for_write(&mut self) -> Result<u64, Report<StorageError>> {
-        let Some(running_write) = &mut self.running_write else {
-            return std::future::pending().await;
-        };
-        let joined = running_write.await;
-        self.running_write = None;
-        match joined {
-            Ok((store, result)) => {
-                self.idle_store = result.is_ok().then_some(store);
-                result
-            }
-            Err(_) => Err(Report::new(StorageError::Failed)),
+    /// Waits for the end of the running operation, or forever if there is none. Cancellation-safe.
+    async fn wait(&mut self) -> StorageEvent {
+        if let Some(running_write) = &mut self.running_write {
+            let joined = running_write.await;
+            self.running_write = None;
+            return StorageEvent::Written(self.keep_store(joined));
+        }
+        if let Some(running_reopen) = &mut self.running_reopen {
+            let joined = running_reopen.await;
+            self.running_reopen = None;
+            return StorageEvent::Reopened(self.keep_store(joined));
         }
+        std::future::pending().await
+    }
+
+    fn keep_store<T>(
+        &mut self,
+        joined: Result<StoreOutcome<T>, JoinError>,
+    ) -> Result<T, Report<StorageError>> {
+        let (store, result) = joined.map_err(|_| Report::new(StorageError::Failed))?;
+        self.idle_store = Some(store);
+        result
+    }
+
+    /// Starts to open the failed store again after a delay. What was queued for it is dropped; a
+    /// stopped replica queues nothing more.
+    fn start_reopen(&mut self) {
+        self.queued_requests.clear();
+        let Some(mut store) = self.idle_store.take() else { return };
+        self.running_reopen = Some(tokio::spawn(async move {
+            tokio::time::sleep(REOPEN_INTERVAL).await;
+            let reopening = tokio::task::spawn_blocking(move || {
+                let result = store.reopen();
+                (store, result)
+            });
+            reopening.await.expect("opening a store does not panic")
+        }));
     }
 }
 
--- a/crates/consensus/src/raft/replica.rs
+++ b/crates/consensus/src/raft/replica.rs
@@ -180,6 +180,11 @@
         self.stop_reason.is_none() && entries > 0 && is_log_long
     }
 
+    /// Index of the last entry that was given out to be applied.
+    pub fn applied_index(&self) -> u64 {
+        self.applied_index
+    }
+
     /// Current status.
     pub fn status(&self) -> ReplicaStatus {
         ReplicaStatus {
--- a/crates/consensus/src/storage/faulty_store.rs
+++ b/crates/consensus/src/storage/faulty_store.rs
@@ -44,6 +44,11 @@
         self.is_failing = true;
     }
 
+    /// Makes writes and syncs work again, as when a full disk has free space again.
+    pub fn stop_failing(&mut self) {
+        self.is_failing = false;
+    }
+
     /// Whether writes and syncs fail.
     pub fn is_failing(&self) -> bool {
         self.is_failing
@@ -111,4 +116,10 @@
         }
         Ok(())
     }
+
+    fn reopen(&mut self) -> Result<RecoveredState, Report<StorageError>> {
+        let mut disk = self.lock_working_disk()?;
+        disk.unsynced.clear();
+        Ok(disk.recover())
+    }
 }
--- a/crates/consensus/src/storage/file_log_store.rs
+++ b/crates/consensus/src/storage/file_log_store.rs
@@ -226,6 +226,26 @@
     fn sync(&mut self) -> Result<(), Report<StorageError>> {
         self.run_unless_failed(Self::sync_log)
     }
+
+    fn reopen(&mut self) -> Result<RecoveredState, Report<StorageError>> {
+        // After a failed sync, the operating system may show data that is not on the disk.
+        let path = &self.current_segment().path.clone();
+        self.file
+            .set_len(self.synced_bytes)
+            .and_then(|()| self.file.sync_all())
+            .change_context_lazy(|| atomic_file::io_error("truncate", path))?;
+        // Opening a directory without metadata would start an empty log under this disk id.
+        let metadata = Metadata::load(&self.directory)?;
+        if metadata.is_none_or(|metadata| metadata.disk != self.metadata.disk) {
+            let (file, fault) = (self.directory.join(METADATA_NAME), "it is not of this disk");
+            return Err(Report::new(StorageError::Damaged { file, offset: 0, fault }));
+        }
+        let (store, recovered) = Self::open(&self.directory, self.metadata.disk)?;
+        *self = store;
+        // Opening a log may write nothing, so this shows whether writes work again.
+        self.metadata.store(&self.directory)?;
+        Ok(recovered)
+    }
 }
 
 /// Initialises a new directory. The metadata file is written last, so a directory that has one is
--- a/crates/consensus/src/storage/log_store.rs
+++ b/crates/consensus/src/storage/log_store.rs
@@ -4,6 +4,7 @@
 use error_stack::Report;
 
 use crate::raft::PersistRequest;
+use crate::raft::RecoveredState;
 
 /// Durable storage of a replica.
 pub trait LogStore: Send {
@@ -18,6 +19,13 @@
     /// # Errors
     /// After any error the store refuses all further calls.
     fn sync(&mut self) -> Result<(), Report<StorageError>>;
+
+    /// Opens the store again after a failed write or sync and returns what it holds. What was not
+    /// synced is discarded.
+    ///
+    /// # Errors
+    /// `StorageError` if it still cannot be written, or is damaged.
+    fn reopen(&mut self) -> Result<RecoveredState, Report<StorageError>>;
 }
 
 /// Reason why the state cannot be read or written.
@@ -55,7 +63,7 @@
                  a learner and promote it",
                 file.display()
             ),
-            Self::Failed => f.write_str("an earlier write or sync failed; restart the replica"),
+            Self::Failed => f.write_str("an earlier write or sync failed"),
         }
     }
 }
--- a/crates/consensus/tests/driver.rs
+++ b/crates/consensus/tests/driver.rs
@@ -166,6 +166,38 @@
     running.shut_down().await;
 }
 
+/// Guards against a replica that is lost for good because its disk was full for a while, and against
+/// commands that are lost or applied twice when it goes on.
+#[tokio::test]
+async fn a_replica_takes_part_again_when_its_storage_works_again() {
+    let network = Arc::new(InProcessTransport::default());
+    let store = FaultyStore::default();
+    let running = RunningReplica::start(
+        &network,
+        id("a", 1),
+        Box::new(store.clone()),
+        RecoveredState::default(),
+        100,
+    );
+    running.handle.bootstrap(vec![id("a", 1)]).await;
+    running.wait_for_role(ReplicaRole::Leader).await;
+    let mut expected = Vec::new();
+    for round in 0..3_u8 {
+        // Some rounds end shortly before a snapshot is due and some shortly after it.
+        for byte in 0..5 + round {
+            expected.push(byte);
+            assert_eq!(running.handle.propose(vec![byte]).await.unwrap(), expected);
+        }
+        store.disk().start_failing();
+        assert_eq!(running.handle.propose(vec![99]).await, Err(LogRequestError::OutcomeUnknown));
+        running.wait_for_role(ReplicaRole::Stopped(StopReason::Storage)).await;
+        store.disk().stop_failing();
+        running.wait_for_role(ReplicaRole::Leader).await;
+        running.handle.read_barrier().await.unwrap();
+    }
+    running.shut_down().await;
+}
+
 /// Guards against failures when a replica joins: it receives the log by snapshot, is promoted to a
 /// voter and names the leader to clients.
 #[tokio::test]
--- a/crates/consensus/tests/recovery.rs
+++ b/crates/consensus/tests/recovery.rs
@@ -408,3 +408,35 @@
         assert_eq!(result.unwrap_err().downcast_ref(), Some(&StorageError::Failed));
     }
 }
+
+/// Guards against a store that stays failed after its disk was full for a while, and against entries
+/// that were not synced before the failure and count as stored afterwards.
+#[test]
+fn a_failed_store_can_be_opened_again_with_what_was_synced() {
+    let mut stores = StoreWithModel::new();
+    let synced = stores.entries(1, 5);
+    let request = PersistRequest { entries: synced.clone(), ..PersistRequest::default() };
+    stores.file_store.write(&request).expect("the directory can be written");
+    stores.file_store.sync().expect("the directory can be synced");
+    let unsynced = PersistRequest { entries: stores.entries(6, 3), ..PersistRequest::default() };
+    stores.file_store.write(&unsynced).expect("the directory can be written");
+
+    // Without the directory, no file can be created, as on a full disk.
+    let directory = stores.directory.path();
+    let hidden = directory.with_extension("hidden");
+    fs::rename(directory, &hidden).expect("the directory can be renamed");
+    let hard_state = Some(HardState { term: 9, ..HardState::default() });
+    let vote = PersistRequest { hard_state, ..PersistRequest::default() };
+    assert!(stores.file_store.write(&vote).is_err());
+    assert!(stores.file_store.reopen().is_err(), "the disk still fails");
+    fs::rename(&hidden, directory).expect("the directory can be renamed");
+
+    let recovered = stores.file_store.reopen().expect("the disk works again");
+    assert_eq!(recovered.entries, synced);
+    let next = PersistRequest { entries: stores.entries(6, 1), ..PersistRequest::default() };
+    stores.file_store.write(&next).expect("the store works again");
+    stores.file_store.sync().expect("the store works again");
+    let directory = stores.directory.path().to_path_buf();
+    let (_, recovered) = FileLogStore::open(&directory, DiskId(8)).expect("the log is whole");
+    assert_eq!(recovered.entries.len(), 6);
+}
