--- a/crates/datapath/src/entry/caller_handler.rs
+++ b/crates/datapath/src/entry/caller_handler.rs
@@ -20,8 +20,8 @@
 use tracing::info;
 
 use crate::datapath::ServingState;
+use crate::entry::entry_span::EntrySpan;
 use crate::entry::forwarder::owner_not_reached;
-use crate::entry::forwarder::EntrySpan;
 use crate::entry::key_issue;
 use crate::entry::outgoing_call::OutgoingCall;
 use crate::entry::Forwarder;
--- a/crates/datapath/src/entry/exit_handler.rs
+++ b/crates/datapath/src/entry/exit_handler.rs
@@ -11,7 +11,7 @@
 use tarragon_model::identity::SpanId;
 use tokio_util::sync::CancellationToken;
 
-use crate::entry::forwarder::EntrySpan;
+use crate::entry::entry_span::EntrySpan;
 use crate::entry::outgoing_call::OutgoingCall;
 use crate::entry::Forwarder;
 use crate::gate::SpanContext;
--- a/crates/datapath/src/entry/forwarder.rs
+++ b/crates/datapath/src/entry/forwarder.rs
@@ -13,7 +13,6 @@
 use tarragon_model::identity::IdempotencyKey;
 use tarragon_model::identity::InstanceId;
 use tarragon_model::identity::RequestId;
-use tarragon_model::identity::SpanId;
 use tarragon_model::member::MemberRecord;
 use tarragon_policy::retry::RetryPolicy;
 use tarragon_policy::routing::CallOutcome;
@@ -449,23 +448,3 @@
     };
     may_succeed && call.body.is_replayable()
 }
-
-/// Ledger span with the retry tokens of a request that entered at this node. It is closed on drop.
-pub(crate) struct EntrySpan<'a> {
-    forwarder: &'a Forwarder,
-    pub(crate) id: SpanId,
-}
-
-impl<'a> EntrySpan<'a> {
-    pub(crate) fn open(forwarder: &'a Forwarder, tokens: u32) -> Self {
-        let id = SpanId(rand::random());
-        forwarder.retry().open_span(id, tokens);
-        Self { forwarder, id }
-    }
-}
-
-impl Drop for EntrySpan<'_> {
-    fn drop(&mut self) {
-        self.forwarder.retry().close_span(self.id);
-    }
-}
--- a/crates/datapath/src/entry/mod.rs
+++ b/crates/datapath/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod caller_handler;
 mod candidate_updater;
 mod entry_body;
+mod entry_span;
 mod exit_handler;
 mod forwarder;
 mod key_issue;
--- a/crates/datapath/src/gate/request_gate.rs
+++ b/crates/datapath/src/gate/request_gate.rs
@@ -19,13 +19,10 @@
 use tarragon_model::identity::RequestId;
 use tarragon_model::identity::SpanId;
 use tarragon_model::member::BackendState;
-use tarragon_policy::admission::AdmissionPolicy;
 use tarragon_policy::admission::AdmissionRequest;
 use tarragon_policy::admission::RunOutcome;
 use tarragon_policy::admission::WorkClass;
-use tarragon_policy::once::OncePolicy;
 use tarragon_policy::retry::RetryPolicy;
-use tarragon_wire::DeploymentKey;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -53,6 +50,7 @@
 use crate::gate::spans::SpanGuard;
 use crate::gate::AttemptKey;
 use crate::gate::GateCall;
+use crate::gate::GateDependencies;
 use crate::gate::GateResponse;
 use crate::gate::SpanContext;
 use crate::interface::BackendInterface;
@@ -71,30 +69,6 @@
 /// Maximum average rate of log lines about failed requests, in lines per second.
 const MAX_FAILURE_LOG_LINES_PER_S: u32 = 30;
 
-/// Settings and components that a gate uses.
-pub struct GateDependencies {
-    /// Settings of the data path.
-    pub settings: Arc<DataPathSettings>,
-    /// Clock of the policies.
-    pub clock: Clock,
-    /// Policy that decides which requests run, wait or are refused.
-    pub admission: Box<dyn AdmissionPolicy>,
-    /// Table of idempotency keys.
-    pub once: Box<dyn OncePolicy>,
-    /// Retry tokens of the node.
-    pub retry: Arc<Mutex<Box<dyn RetryPolicy>>>,
-    /// Status of the backend server.
-    pub status: watch::Receiver<BackendStatus>,
-    /// Current catalogue of services.
-    pub catalogue: watch::Receiver<Arc<Catalogue>>,
-    /// Key for the digests of callers and requests.
-    pub key: DeploymentKey,
-    /// Receiver of counters.
-    pub metrics: Arc<dyn Metrics>,
-    /// Writes request headers for the backend server and interprets its response headers.
-    pub interface: Arc<dyn BackendInterface>,
-}
-
 /// Decides on requests for the node's backend server and runs them.
 pub struct Gate {
     pub(crate) settings: Arc<DataPathSettings>,
--- a/crates/datapath/src/peer/mod.rs
+++ b/crates/datapath/src/peer/mod.rs
@@ -7,6 +7,7 @@
 mod peer_connection;
 mod peer_pool;
 mod peer_server;
+mod pending_response;
 
 pub use auth::PeerAuth;
 pub use peer_pool::PeerCallError;
--- a/crates/datapath/src/peer/peer_pool.rs
+++ b/crates/datapath/src/peer/peer_pool.rs
@@ -1,7 +1,5 @@
 use std::collections::HashMap;
-use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::RwLock;
@@ -16,7 +14,6 @@
 use http::Uri;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::client::conn::TrySendError;
 use tarragon_model::call::headers;
 use tarragon_model::call::CallContext;
 use tarragon_model::call::Outcome;
@@ -41,6 +38,8 @@
 use crate::peer::peer_connection::header_value;
 use crate::peer::peer_connection::parse_advice;
 use crate::peer::peer_connection::PeerConnection;
+use crate::peer::pending_response::PendingResponse;
+use crate::peer::pending_response::SendResult;
 use crate::peer::PeerAuth;
 use crate::peer::FENCE_PATH;
 use crate::transport::empty;
@@ -399,29 +398,6 @@
     }
 }
 
-type SendResult = Result<Response<Incoming>, TrySendError<Request<Body>>>;
-
-/// A request on a connection to a peer that has no response yet.
-struct PendingResponse<'a> {
-    response: Pin<Box<dyn Future<Output = SendResult> + Send + 'a>>,
-    closed: CancellationToken,
-    /// Time after which no response is expected.
-    last_wait: Instant,
-}
-
-impl PendingResponse<'_> {
-    async fn wait(&mut self) -> Result<SendResult, PeerCallError> {
-        tokio::select! {
-            biased;
-            response = self.response.as_mut() => Ok(response),
-            () = self.closed.cancelled() => Err(PeerCallError::ConnectionLost),
-            () = tokio::time::sleep_until(self.last_wait.into()) => {
-                Err(PeerCallError::DeadlinePassed)
-            }
-        }
-    }
-}
-
 fn parse_number(map: &HeaderMap, name: HeaderName) -> Option<u64> {
     map.get(name)?.to_str().ok()?.parse().ok()
 }
