--- a/crates/policy/src/routing/tests.rs
+++ b/crates/policy/src/routing/tests.rs
@@ -1,4 +1,5 @@
-use std::collections::BTreeMap;
+mod load_generator;
+
 use std::collections::HashMap;
 
 use tarragon_model::call::Reason;
@@ -9,6 +10,8 @@
 
 use crate::admission::shed_hash;
 use crate::admission::AdmissionAdvice;
+use crate::routing::tests::load_generator::LoadGenerator;
+use crate::routing::tests::load_generator::ANSWERED_IN_10_MS;
 use crate::routing::AdaptiveRouter;
 use crate::routing::AdaptiveRouterSettings;
 use crate::routing::CallOutcome;
@@ -49,71 +52,6 @@
     Box::new(AdaptiveRouter::new(settings, 0x4007))
 }
 
-/// Sends one request per ms to servers whose responses are set by the test.
-struct LoadGenerator {
-    router: Box<dyn RoutePolicy>,
-    now_us: u64,
-    sent: u64,
-    /// Results of calls in flight, by their time in µs and the number of the request.
-    pending_results: BTreeMap<(u64, u64), (InstanceId, CallResult)>,
-    /// Number of requests by server in the current run.
-    counts: HashMap<u64, u64>,
-    rank: u8,
-}
-
-/// Outcome of a request and its latency in µs, or `None` if the server never answers.
-type ServerResponse = Option<(CallOutcome, u64)>;
-
-const ANSWERED_IN_10_MS: ServerResponse = Some((CallOutcome::Answered, 10 * MS));
-
-impl LoadGenerator {
-    fn new(mut router: Box<dyn RoutePolicy>, candidates: &[Candidate]) -> Self {
-        router.set_candidates(SERVICE, candidates, 0);
-        Self {
-            router,
-            now_us: 0,
-            sent: 0,
-            pending_results: BTreeMap::new(),
-            counts: HashMap::new(),
-            rank: 1,
-        }
-    }
-
-    /// Sends requests for `time_us` and returns the share of the requests that each server
-    /// received.
-    fn run(
-        &mut self,
-        time_us: u64,
-        response_of: impl Fn(u64) -> ServerResponse,
-    ) -> HashMap<u64, f64> {
-        let end_us = self.now_us + time_us;
-        self.counts.clear();
-        while self.now_us < end_us {
-            self.now_us += MS;
-            while self
-                .pending_results
-                .first_key_value()
-                .is_some_and(|((at, _), _)| *at <= self.now_us)
-            {
-                let ((at, _), (server, result)) = self.pending_results.pop_first().unwrap();
-                self.router.record_call_end(SERVICE, server, &result, at);
-            }
-            self.sent += 1;
-            let decision = self.router.choose(&query(self.sent, self.rank, &[]), self.now_us);
-            let RouteDecision::Use(server) = decision else { continue };
-            self.router.record_call_start(SERVICE, server, self.now_us);
-            *self.counts.entry(server.0).or_default() += 1;
-            if let Some((outcome, latency_us)) = response_of(server.0) {
-                let result = CallResult { latency_us, outcome, kind: 0 };
-                self.pending_results
-                    .insert((self.now_us + latency_us, self.sent), (server, result));
-            }
-        }
-        let all = (time_us / MS) as f64;
-        self.counts.iter().map(|(server, count)| (*server, *count as f64 / all)).collect()
-    }
-}
-
 fn four_local_servers() -> Vec<Candidate> {
     (0..4).map(|n| ready(n, Distance::Local)).collect()
 }
