Decrease the limits of kinds less, and let them grow more slowly

Cause of the red chains_are_completed_at_ten_times_the_capacity: at ten times the capacity a limit fell by half of the refused share, which left the last service idle, and after some clean periods grew by up to half in one period, which started so many chains that most lost a call.

Change: a decrease by a third of the refused share, growth by 25% a period at most, and 4% instead of 5% of refused runs allowed.

--- a/crates/policy/src/admission/kind_limits.rs
+++ b/crates/policy/src/admission/kind_limits.rs
@@ -22,22 +22,27 @@
 impl Default for KindLimitSettings {
     fn default() -> Self {
         Self {
-            // Equals one refused call in 100 if a run makes five calls.
-            max_refused_share: 0.05,
+            // Less than one refused call in 100 if a run makes five calls.
+            max_refused_share: 0.04,
             // With fewer finished runs, a single failure would be a third of them or more.
             min_finished_runs: 4,
             // A failure is attributed to a refused call up to this time before it.
             min_period_us: 100_000,
             // The correct limit is exceeded by less than the allowed share of refused calls.
             growth_share: 0.02,
-            // A limit reduced to a third recovers in three periods.
-            max_growth_share: 0.5,
+            // A limit reduced to a third recovers in about nine periods. Faster growth starts so many
+            // runs at a deep overload that most of them lose a call.
+            max_growth_share: 0.25,
             // One period of the fastest growth does not reach this multiple.
             drop_factor: 2.0,
         }
     }
 }
 
+/// Decrease of a limit, as a multiple of the share of runs with a refused call. Calls are refused in
+/// bursts, so a decrease by the whole share would leave the other service idle afterwards.
+const DECREASE_FACTOR: f64 = 1.0 / 3.0;
+
 /// Maximum number of tracked kinds. When it is reached, a new kind discards those without runs.
 const MAX_KINDS: usize = 4_096;
 
@@ -130,7 +135,7 @@
         let refused_share = f64::from(self.refused_runs) / f64::from(self.finished_runs);
         if refused_share > settings.max_refused_share {
             let base = self.limit.map_or(max_running, |limit| limit.min(max_running));
-            return Some((base * (1.0 - refused_share / 2.0)).max(1.0));
+            return Some((base * (1.0 - refused_share * DECREASE_FACTOR)).max(1.0));
         }
         let limit = self.limit?;
         let doublings = if self.refused_runs == 0 { self.clean_periods } else { 0 };
