--- a/crates/datapath/tests/datapath/unresponsive.rs
+++ b/crates/datapath/tests/datapath/unresponsive.rs
@@ -204,3 +204,24 @@
         assert_eq!(reply.body.as_deref(), Ok(&b"weighed"[..]));
     }
 }
+
+/// Guards against memory that grows while a caller sends a head without end: the node closes the
+/// connection after a bounded number of bytes, and serves others.
+#[tokio::test]
+async fn a_request_head_without_end_is_cut_off() {
+    let server = HangingServer::start().await;
+    let cluster = configured_cluster();
+    let node = cluster.start_node("one", Some(server.address)).await;
+    wait_until_routed(&node).await;
+    for repeated in [&b"X-Filler: 0123456789abcdef\r\n"[..], b"0123456789abcdef"] {
+        let mut stream = TcpStream::connect(node.caller).await.unwrap();
+        stream.write_all(b"GET /one/7 HTTP/1.1\r\nX-Long: ").await.unwrap();
+        let mut sent_bytes = 0;
+        while stream.write_all(repeated).await.is_ok() {
+            sent_bytes += repeated.len();
+            // The limit is 128 KiB; the sockets hold some more.
+            assert!(sent_bytes < 16 * 1_024 * 1_024, "{sent_bytes} bytes were taken");
+        }
+    }
+    assert_eq!(send(&node, "/one/7").await.status.as_u16(), 200);
+}
