Let the longest answer fade with the number of answers, not with time

Cause, found in the review of the change: with a half-life of 30 s a kind with few requests would soon have only its usual runs left, so that each of the longer ones was taken for silence and given up.

--- a/crates/policy/src/admission/longest_runs.rs
+++ b/crates/policy/src/admission/longest_runs.rs
@@ -1,14 +1,17 @@
 use std::collections::HashMap;
 
-/// Minimum number of runs of a kind before silence says anything about a request of that kind.
-const MIN_RUNS: u32 = 64;
+/// Minimum number of runs of a kind before silence says anything about a request of that kind. If
+/// 3% of the runs are several times as long as the others, there are some among so many.
+const MIN_RUNS: u32 = 256;
 
 /// Factor on the longest run of a kind that gives its silence limit. It leaves room for runs that
 /// are longer than any before.
 const SILENCE_FACTOR: f64 = 1.5;
 
-/// Half-life of the longest run, in µs, so that a single long run does not hide silence for good.
-const LONGEST_HALF_LIFE_US: f64 = 30_000_000.0;
+/// Number of runs after which the longest one counts for half, so that a single long run does not
+/// hide silence for good. It is not a time, since a kind with few requests would soon have only its
+/// usual runs left.
+const LONGEST_HALF_LIFE_RUNS: f64 = 1_024.0;
 
 /// Maximum number of kinds of requests that are tracked. When it is reached, a new kind discards all
 /// others.
@@ -17,9 +20,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct KindRuns {
     runs: u32,
-    /// Longest time to the first byte, as of `updated_us`, in µs.
+    /// Longest time to the first byte, reduced with each later run, in µs.
     longest_us: f64,
-    updated_us: u64,
 }
 
 /// Longest time to the first byte of a response at one gate, by kind of request.
@@ -34,18 +36,14 @@
 }
 
 impl LongestRuns {
-    pub(super) fn record(&mut self, kind: u32, first_byte_us: u64, now_us: u64) {
+    pub(super) fn record(&mut self, kind: u32, first_byte_us: u64) {
         if self.kinds.len() >= MAX_KINDS && !self.kinds.contains_key(&kind) {
             self.kinds.clear();
         }
         let runs = self.kinds.entry(kind).or_default();
-        let age_us = now_us.saturating_sub(runs.updated_us) as f64;
-        let decayed_us = runs.longest_us * (-age_us / LONGEST_HALF_LIFE_US).exp2();
-        *runs = KindRuns {
-            runs: runs.runs.saturating_add(1),
-            longest_us: decayed_us.max(first_byte_us as f64),
-            updated_us: now_us,
-        };
+        runs.runs = runs.runs.saturating_add(1);
+        runs.longest_us *= (-1.0 / LONGEST_HALF_LIFE_RUNS).exp2();
+        runs.longest_us = runs.longest_us.max(first_byte_us as f64);
     }
 
     /// Time without a byte after which a request of a kind is taken for unanswered, in µs; `None`
@@ -55,3 +53,6 @@
         Some((runs.longest_us * SILENCE_FACTOR) as u64)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/policy/src/admission/slot_admission.rs
+++ b/crates/policy/src/admission/slot_admission.rs
@@ -250,7 +250,7 @@
         match result.outcome {
             RunOutcome::Answered => {
                 self.run_times.record(kind, result.run_us);
-                self.longest_runs.record(kind, result.first_byte_us, now_us);
+                self.longest_runs.record(kind, result.first_byte_us);
             }
             RunOutcome::Failed | RunOutcome::Cancelled if is_longer => {
                 self.run_times.record(kind, result.run_us)
