--- a/crates/policy/src/admission/kind_limits.rs
+++ b/crates/policy/src/admission/kind_limits.rs
@@ -30,7 +30,7 @@
             min_period_us: 100_000,
             // The correct limit is exceeded by less than the allowed share of refused calls.
             growth_share: 0.02,
-            // A limit reduced to a third recovers in about nine periods. Faster growth starts so many
+            // A limit reduced to a third recovers in about eight periods. Faster growth starts so many
             // runs at a deep overload that most of them lose a call.
             max_growth_share: 0.25,
             // One period of the fastest growth does not reach this multiple.
