Share the set-up of tests, and move the election test to a file of its own

Tests only: the single voter of the driver tests and the learnt node of the tests of servers that never answer are started by one function each; the second of these now has another server that could be used, which makes it stricter.

--- a/crates/consensus/tests/driver.rs
+++ b/crates/consensus/tests/driver.rs
@@ -142,21 +142,23 @@
     }
 }
 
+/// Starts a log with a single voter on a simulated disk, and waits until it leads.
+async fn start_single_voter() -> (RunningReplica, FaultyStore) {
+    let network = Arc::new(InProcessTransport::default());
+    let (store, recovered) = (FaultyStore::default(), RecoveredState::default());
+    let local_id = id("a", 1);
+    let running =
+        RunningReplica::start(&network, local_id.clone(), Box::new(store.clone()), recovered, 100);
+    running.handle.bootstrap(vec![local_id]).await;
+    running.wait_for_role(ReplicaRole::Leader).await;
+    (running, store)
+}
+
 /// Guards against a replica that continues after a failed write, and against a definite result for
 /// a command whose write failed.
 #[tokio::test]
 async fn a_replica_stops_when_storage_fails() {
-    let network = Arc::new(InProcessTransport::default());
-    let store = FaultyStore::default();
-    let running = RunningReplica::start(
-        &network,
-        id("a", 1),
-        Box::new(store.clone()),
-        RecoveredState::default(),
-        100,
-    );
-    running.handle.bootstrap(vec![id("a", 1)]).await;
-    running.wait_for_role(ReplicaRole::Leader).await;
+    let (running, store) = start_single_voter().await;
     running.handle.propose(vec![1]).await.unwrap();
     store.disk().start_failing();
     assert_eq!(running.handle.propose(vec![2]).await, Err(LogRequestError::OutcomeUnknown));
@@ -170,17 +172,7 @@
 /// commands that are lost or applied twice when it goes on.
 #[tokio::test]
 async fn a_replica_takes_part_again_when_its_storage_works_again() {
-    let network = Arc::new(InProcessTransport::default());
-    let store = FaultyStore::default();
-    let running = RunningReplica::start(
-        &network,
-        id("a", 1),
-        Box::new(store.clone()),
-        RecoveredState::default(),
-        100,
-    );
-    running.handle.bootstrap(vec![id("a", 1)]).await;
-    running.wait_for_role(ReplicaRole::Leader).await;
+    let (running, store) = start_single_voter().await;
     let mut expected = Vec::new();
     for round in 0..3_u8 {
         // Some rounds end shortly before a snapshot is due and some shortly after it.
--- a/crates/consensus/tests/replica/main.rs
+++ b/crates/consensus/tests/replica/main.rs
@@ -3,6 +3,7 @@
 mod catalogue;
 mod checker;
 mod directed;
+mod election;
 mod machine;
 mod mechanisms;
 mod node;
--- a/crates/datapath/tests/datapath/unresponsive.rs
+++ b/crates/datapath/tests/datapath/unresponsive.rs
@@ -17,6 +17,8 @@
 use crate::routed::configured_cluster;
 use crate::routed::send;
 use crate::routed::wait_until_routed;
+use crate::support::Cluster;
+use crate::support::Node;
 
 /// Number of answers after which a gate knows how long the requests of a route last.
 const LEARNING_REQUESTS: usize = 300;
@@ -79,18 +81,25 @@
     }
 }
 
-/// Guards against callers that wait for their time limit because a backend server never answers a
-/// request that it cannot queue: one that may run again does so elsewhere, long before.
-#[tokio::test]
-async fn an_unanswered_idempotent_request_runs_on_another_server() {
-    let (hanging, other) = (HangingServer::start().await, HangingServer::start().await);
+/// Starts a node with a hanging server that has answered enough requests of a path.
+async fn start_learnt_node(path: &str) -> (Cluster, Node, HangingServer) {
+    let hanging = HangingServer::start().await;
     let mut cluster = configured_cluster();
     cluster.uses_slots = true;
-    let first = cluster.start_node("first", Some(hanging.address)).await;
-    wait_until_routed(&first).await;
+    let node = cluster.start_node("first", Some(hanging.address)).await;
+    wait_until_routed(&node).await;
     for _ in 0..LEARNING_REQUESTS {
-        assert_eq!(send(&first, "/two/7").await.status.as_u16(), 200);
+        assert_eq!(send(&node, path).await.status.as_u16(), 200);
     }
+    (cluster, node, hanging)
+}
+
+/// Guards against callers that wait for their time limit because a backend server never answers a
+/// request that it cannot queue: one that may run again does so elsewhere, long before.
+#[tokio::test]
+async fn an_unanswered_idempotent_request_runs_on_another_server() {
+    let (cluster, first, hanging) = start_learnt_node("/two/7").await;
+    let other = HangingServer::start().await;
     let _second = cluster.start_node("second", Some(other.address)).await;
     hanging.is_hanging.store(true, Ordering::SeqCst);
     let started = Instant::now();
@@ -108,19 +117,19 @@
 /// can't run elsewhere. Its outcome is unknown at its deadline.
 #[tokio::test]
 async fn an_unanswered_request_that_may_run_once_is_waited_for() {
-    let (hanging, other) = (HangingServer::start().await, HangingServer::start().await);
-    let mut cluster = configured_cluster();
-    cluster.uses_slots = true;
-    let first = cluster.start_node("first", Some(hanging.address)).await;
-    wait_until_routed(&first).await;
-    for _ in 0..LEARNING_REQUESTS {
-        assert_eq!(send(&first, "/brief-once/7").await.status.as_u16(), 200);
-    }
+    let (cluster, first, hanging) = start_learnt_node("/brief-once/7").await;
+    let other = HangingServer::start().await;
+    let _second = cluster.start_node("second", Some(other.address)).await;
     hanging.is_hanging.store(true, Ordering::SeqCst);
-    let reply = send(&first, "/brief-once/7").await;
-    assert_eq!((reply.status.as_u16(), reply.reason()), (504, "deadline-passed"));
+    let before = first.metrics.read("gate.unresponsive");
+    while hanging.unanswered.load(Ordering::SeqCst) == 0 {
+        let reply = send(&first, "/brief-once/7").await;
+        let is_unanswered = hanging.unanswered.load(Ordering::SeqCst) > 0;
+        let expected = if is_unanswered { (504, "deadline-passed") } else { (200, "") };
+        assert_eq!((reply.status.as_u16(), reply.reason()), expected);
+    }
     assert_eq!(hanging.unanswered.load(Ordering::SeqCst), 1);
-    assert_eq!(other.unanswered.load(Ordering::SeqCst), 0);
+    assert_eq!(first.metrics.read("gate.unresponsive"), before);
 }
 
 /// Backend server that sends a beginning and then the same bytes without end, and counts them.
