Read the notices of backend servers and log their changes

Each gate now logs when the notice of its server changes and counts it in gate.notice_changed. A response that another server sent (421), and one that belongs to another request, are no notice. Nothing acts on a notice yet.

--- a/crates/datapath/src/backend/announcement_tracker.rs
+++ b/crates/datapath/src/backend/announcement_tracker.rs
@@ -195,6 +195,7 @@
             address: Some(announcement.address),
             slots: announcement.slots,
             server_id: announcement.server.as_ref().map(|server| server.id.clone()),
+            started_at_ms: announcement.server.as_ref().map(|server| server.started_at_ms),
             state,
         }
     }
--- a/crates/datapath/src/backend/backend_status.rs
+++ b/crates/datapath/src/backend/backend_status.rs
@@ -13,8 +13,11 @@
     /// Number of requests that the backend server can run at a time, as announced; 0 if none is
     /// announced. The admission policy derives its limit from it.
     pub slots: u32,
-    /// Identity of the backend server, if it announced one. It changes with every start.
+    /// Identity of the backend server, if it announced one.
     pub server_id: Option<String>,
+    /// Start time of the process of the backend server in ms since 1970, if it announced one. A
+    /// later start may keep the identity.
+    pub started_at_ms: Option<u64>,
     /// State of the backend server. The gate accepts new requests only in `Ready` and `Starting`.
     pub state: BackendState,
 }
@@ -27,6 +30,7 @@
             address: None,
             slots: 0,
             server_id: None,
+            started_at_ms: None,
             state: BackendState::Absent,
         }
     }
--- a/crates/datapath/src/gate/mod.rs
+++ b/crates/datapath/src/gate/mod.rs
@@ -16,6 +16,7 @@
 mod request_gate;
 mod response_body;
 mod retry_token_guard;
+mod server_notices;
 mod spans;
 
 pub use attempts::AttemptKey;
--- a/crates/datapath/src/gate/request_gate.rs
+++ b/crates/datapath/src/gate/request_gate.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use http::header;
+use http::response::Parts;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -46,6 +47,7 @@
 use crate::gate::response_body::ResponseBody;
 use crate::gate::response_body::UploadBody;
 use crate::gate::retry_token_guard::RetryTokenGuard;
+use crate::gate::server_notices::ServerNotices;
 use crate::gate::spans::ActiveSpans;
 use crate::gate::spans::SpanGuard;
 use crate::gate::AttemptKey;
@@ -83,6 +85,7 @@
     pub(crate) metrics: Arc<dyn Metrics>,
     pub(crate) status: watch::Receiver<BackendStatus>,
     pub(crate) retry: Arc<Mutex<Box<dyn RetryPolicy>>>,
+    pub(crate) server_notices: ServerNotices,
     catalogue: watch::Receiver<Arc<Catalogue>>,
     interface: Arc<dyn BackendInterface>,
     failure_log: LogRateLimiter,
@@ -114,6 +117,7 @@
             metrics,
             status,
             retry,
+            server_notices: ServerNotices::new(clock),
             catalogue,
             interface,
             failure_log: LogRateLimiter::new(clock, MAX_FAILURE_LOG_LINES_PER_S),
@@ -261,6 +265,7 @@
             attempt: call.attempt,
         };
         let address = self.ready_address(&call.service)?;
+        let started_at_ms = self.status.borrow().started_at_ms;
         let request_tag = self.interface.correlation_tag(call.request.headers());
         let (mut request, is_upload_done) = self.backend_request(call, span.id(), address);
         let mut is_started = false;
@@ -272,6 +277,7 @@
                 self.backend_calls.record_run(repeat_share);
                 is_started = true;
             }
+            let sent_at = Instant::now();
             match lease.send(request, deadline).await {
                 SendOutcome::NotSent(unsent) => request = *unsent,
                 SendOutcome::Failed(failure) => {
@@ -283,6 +289,9 @@
                     let outcome_if_complete = self.run_outcome_for(response.status());
                     let (head, incoming) = response.into_parts();
                     let verdict = self.interface.classify_response(request_tag.as_ref(), &head);
+                    if verdict != ResponseVerdict::Mismatched {
+                        self.record_notice(&head, started_at_ms, sent_at);
+                    }
                     let response = Response::from_parts(head, incoming);
                     if let Some(failure) = failure_from_verdict(verdict) {
                         slot.set_outcome(RunOutcome::Rejected);
@@ -310,6 +319,14 @@
         Err(Reason::NoServer.into())
     }
 
+    /// Records what the backend server says about itself in the head of a response.
+    fn record_notice(&self, head: &Parts, started_at_ms: Option<u64>, sent_at: Instant) {
+        let Some(notice) = self.interface.read_notice(head) else { return };
+        if self.server_notices.record(started_at_ms, notice, sent_at).is_some() {
+            self.metrics.count("gate.notice_changed", 1);
+        }
+    }
+
     /// Outcome of a run whose response has this status, if the response is received completely.
     fn run_outcome_for(&self, status: StatusCode) -> RunOutcome {
         match status {
--- /dev/null
+++ b/crates/datapath/src/gate/server_notices.rs
@@ -0,0 +1,88 @@
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Instant;
+
+use tracing::info;
+
+use crate::backend::ServerNotice;
+use crate::datapath::Clock;
+use crate::transport::LogRateLimiter;
+
+/// Maximum average rate of log lines about changed notices, in lines per second.
+const MAX_NOTICE_LOG_LINES_PER_S: u32 = 5;
+
+/// Latest notice of the backend server behind a gate.
+pub(crate) struct ServerNotices {
+    state: Mutex<NoticeState>,
+    log: LogRateLimiter,
+}
+
+#[derive(Default)]
+struct NoticeState {
+    /// Start of the backend server that sent the notice.
+    started_at_ms: Option<u64>,
+    /// `None` until a response of this start arrives.
+    notice: Option<ServerNotice>,
+    /// Arrival of the latest response with a limit.
+    limited_at: Option<Instant>,
+}
+
+impl ServerNotices {
+    pub(crate) fn new(clock: Clock) -> Self {
+        let log = LogRateLimiter::new(clock, MAX_NOTICE_LOG_LINES_PER_S);
+        Self { state: Mutex::default(), log }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, NoticeState> {
+        self.state.lock().expect("no thread panics while it holds the lock")
+    }
+
+    /// Records the notice in the response to a request that was sent at `sent_at` to the backend
+    /// server that started at `started_at_ms`. Returns the notice in force if it has changed.
+    pub(crate) fn record(
+        &self,
+        started_at_ms: Option<u64>,
+        mut notice: ServerNotice,
+        sent_at: Instant,
+    ) -> Option<ServerNotice> {
+        let mut state = self.lock();
+        if started_at_ms < state.started_at_ms {
+            return None;
+        }
+        state.forget_earlier_start(started_at_ms);
+        let previous = state.notice.unwrap_or_default();
+        // A response without a limit may have been overtaken by one that names it.
+        let is_overtaken = state.limited_at.is_some_and(|limited_at| sent_at < limited_at);
+        if notice.max_requests_per_s.is_some() {
+            state.limited_at = Some(Instant::now());
+        } else if is_overtaken {
+            notice.max_requests_per_s = previous.max_requests_per_s;
+        }
+        notice.is_leaving |= previous.is_leaving;
+        state.notice = Some(notice);
+        drop(state);
+        (notice != previous).then(|| {
+            self.log_change(started_at_ms, notice, "gate: the backend server changed its notice");
+            notice
+        })
+    }
+
+    fn log_change(&self, started_at_ms: Option<u64>, notice: ServerNotice, message: &str) {
+        let Some(unlogged) = self.log.admit() else { return };
+        info!(
+            started_at_ms,
+            max_requests_per_s = notice.max_requests_per_s,
+            is_leaving = notice.is_leaving,
+            unlogged,
+            "{message}"
+        );
+    }
+}
+
+impl NoticeState {
+    fn forget_earlier_start(&mut self, started_at_ms: Option<u64>) {
+        if self.started_at_ms != started_at_ms {
+            *self = Self { started_at_ms, ..Self::default() };
+        }
+    }
+}
--- a/crates/datapath/src/interface/backend_interface.rs
+++ b/crates/datapath/src/interface/backend_interface.rs
@@ -6,6 +6,8 @@
 use http::HeaderValue;
 use tarragon_model::call::CallContext;
 
+use crate::backend::ServerNotice;
+
 /// Attributes of a request that a gate sends to its backend server.
 #[derive(Debug, Clone, Copy)]
 pub struct BackendRequest<'a> {
@@ -49,6 +51,10 @@
         head: &response::Parts,
     ) -> ResponseVerdict;
 
+    /// Reads what the backend server says about itself in a response that belongs to the request.
+    /// `None` if another server sent the response.
+    fn read_notice(&self, head: &response::Parts) -> Option<ServerNotice>;
+
     /// Whether a response without a length is complete when its connection is closed in order. If
     /// not, such a response is refused, because a truncated one cannot be distinguished from a
     /// complete one.
@@ -58,3 +64,10 @@
     /// The connection is not reused in either case.
     fn allows_trailing_bytes(&self) -> bool;
 }
+
+/// Parses a decimal number of requests per second. `None` if it is not a finite number of at least
+/// zero.
+pub fn parse_request_rate(value: &HeaderValue) -> Option<f64> {
+    let rate_per_s: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    (rate_per_s.is_finite() && rate_per_s >= 0.0).then_some(rate_per_s)
+}
--- a/crates/datapath/src/interface/mod.rs
+++ b/crates/datapath/src/interface/mod.rs
@@ -8,6 +8,7 @@
 mod native_caller_interface;
 mod route_matcher;
 
+pub use backend_interface::parse_request_rate;
 pub use backend_interface::BackendInterface;
 pub use backend_interface::BackendRequest;
 pub use backend_interface::ResponseVerdict;
--- a/crates/datapath/src/interface/native_backend_interface.rs
+++ b/crates/datapath/src/interface/native_backend_interface.rs
@@ -4,6 +4,8 @@
 use http::HeaderValue;
 use tarragon_model::call::headers;
 
+use crate::backend::ServerNotice;
+use crate::interface::parse_request_rate;
 use crate::interface::BackendInterface;
 use crate::interface::BackendRequest;
 use crate::interface::ResponseVerdict;
@@ -32,6 +34,15 @@
         ResponseVerdict::Matching
     }
 
+    fn read_notice(&self, head: &response::Parts) -> Option<ServerNotice> {
+        let map = &head.headers;
+        let max_requests_per_s = map.get(headers::MAX_REQUESTS_PER_S);
+        Some(ServerNotice {
+            max_requests_per_s: max_requests_per_s.and_then(parse_request_rate),
+            is_leaving: map.contains_key(headers::LEAVING),
+        })
+    }
+
     fn allows_close_delimited_body(&self) -> bool {
         false
     }
--- a/crates/datapath/tests/datapath/support/cluster.rs
+++ b/crates/datapath/tests/datapath/support/cluster.rs
@@ -214,6 +214,7 @@
                 slots: 10,
                 state: BackendState::Ready,
                 server_id: None,
+                started_at_ms: None,
             },
             None => BackendStatus::absent(),
         };
--- a/crates/datapath/tests/datapath/support/headers.rs
+++ b/crates/datapath/tests/datapath/support/headers.rs
@@ -4,6 +4,7 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Response;
+use tarragon_datapath::backend::ServerNotice;
 use tarragon_datapath::datapath::DataPathSettings;
 use tarragon_datapath::interface::BackendInterface;
 use tarragon_datapath::interface::BackendRequest;
@@ -84,6 +85,12 @@
         }
     }
 
+    fn read_notice(&self, head: &response::Parts) -> Option<ServerNotice> {
+        let limit = head.headers.get("x-limit").and_then(|value| value.to_str().ok()?.parse().ok());
+        let is_leaving = head.headers.contains_key("x-leaving");
+        Some(ServerNotice { max_requests_per_s: limit, is_leaving })
+    }
+
     fn allows_close_delimited_body(&self) -> bool {
         true
     }
