--- a/crates/datapath/tests/datapath/main.rs
+++ b/crates/datapath/tests/datapath/main.rs
@@ -11,6 +11,7 @@
 mod exits;
 mod keys;
 mod lost;
+mod notices;
 mod peers;
 mod routed;
 mod support;
