Admit no more requests per second than a backend server says it takes

Cause: gates admitted by slots alone; no part read the limit. A missing input of the admission decision, not a race: the gates had the limit from 6.06 s on while the overrun lasted.

Every request to a server passes through its gate, so a token bucket there bounds what all nodes together send. Waiting requests take tokens in the order of the queue, so the important ones keep their place; the predicted wait, the time to come back and the advised concurrency (rate times run time) follow the limit, which moves work to servers without one. A response without the limit lifts it, unless its request was sent before the limit was last named. At a limit of 0 one request in 2 s still starts, since only a response says when the limit ends.

New property test for both policies, 40 cases.

--- a/crates/datapath/src/gate/admission_queue.rs
+++ b/crates/datapath/src/gate/admission_queue.rs
@@ -179,6 +179,12 @@
         self.apply_decisions(&mut state);
     }
 
+    pub(crate) fn set_rate_limit(&self, max_requests_per_s: Option<f64>) {
+        let mut state = self.lock();
+        state.policy.set_rate_limit(max_requests_per_s, self.clock.now_us());
+        self.apply_decisions(&mut state);
+    }
+
     pub(crate) fn advice(&self) -> AdmissionAdvice {
         self.lock().policy.advice(self.clock.now_us())
     }
--- a/crates/datapath/src/gate/gate_service.rs
+++ b/crates/datapath/src/gate/gate_service.rs
@@ -34,10 +34,14 @@
         let mut status = self.gate.status.clone();
         let mut was_draining = false;
         loop {
-            let (slots, state) = {
+            let (slots, state, is_notice_outdated) = {
                 let status = status.borrow_and_update();
-                (status.slots, status.state)
+                let is_notice_outdated = self.gate.server_notices.follow_status(&status);
+                (status.slots, status.state, is_notice_outdated)
             };
+            if is_notice_outdated {
+                self.gate.admission_queue.set_rate_limit(None);
+            }
             self.gate.admission_queue.set_slots(slots);
             let is_draining = state == BackendState::Draining;
             if is_draining != was_draining {
--- a/crates/datapath/src/gate/request_gate.rs
+++ b/crates/datapath/src/gate/request_gate.rs
@@ -322,8 +322,9 @@
     /// Records what the backend server says about itself in the head of a response.
     fn record_notice(&self, head: &Parts, started_at_ms: Option<u64>, sent_at: Instant) {
         let Some(notice) = self.interface.read_notice(head) else { return };
-        if self.server_notices.record(started_at_ms, notice, sent_at).is_some() {
+        if let Some(notice) = self.server_notices.record(started_at_ms, notice, sent_at) {
             self.metrics.count("gate.notice_changed", 1);
+            self.admission_queue.set_rate_limit(notice.max_requests_per_s);
         }
     }
 
--- a/crates/datapath/src/gate/server_notices.rs
+++ b/crates/datapath/src/gate/server_notices.rs
@@ -4,6 +4,7 @@
 
 use tracing::info;
 
+use crate::backend::BackendStatus;
 use crate::backend::ServerNotice;
 use crate::datapath::Clock;
 use crate::transport::LogRateLimiter;
@@ -67,6 +68,23 @@
         })
     }
 
+    /// Forgets the notice if the status is that of a later start of the backend server. An expired
+    /// announcement is no later start, unless starts cannot be told apart.
+    ///
+    /// Returns whether the notice was forgotten.
+    pub(crate) fn follow_status(&self, status: &BackendStatus) -> bool {
+        let mut state = self.lock();
+        let is_other_start = match status.address {
+            Some(_) => state.started_at_ms != status.started_at_ms,
+            None => state.started_at_ms.is_none(),
+        };
+        let is_forgotten = is_other_start && state.notice.is_some();
+        if is_other_start {
+            *state = NoticeState { started_at_ms: status.started_at_ms, ..NoticeState::default() };
+        }
+        is_forgotten
+    }
+
     fn log_change(&self, started_at_ms: Option<u64>, notice: ServerNotice, message: &str) {
         let Some(unlogged) = self.log.admit() else { return };
         info!(
--- a/crates/datapath/tests/datapath/support/policies/fixed_limit.rs
+++ b/crates/datapath/tests/datapath/support/policies/fixed_limit.rs
@@ -106,4 +106,6 @@
     }
 
     fn set_slots(&mut self, _slots: u32, _now_us: u64) {}
+
+    fn set_rate_limit(&mut self, _max_requests_per_s: Option<f64>, _now_us: u64) {}
 }
--- a/crates/policy/src/admission/adaptive.rs
+++ b/crates/policy/src/admission/adaptive.rs
@@ -4,6 +4,7 @@
 
 use crate::admission::class_shares::ClassShares;
 use crate::admission::concurrency_limit::ConcurrencyLimit;
+use crate::admission::rate_limit::RateLimit;
 use crate::admission::run_times::RunTimes;
 use crate::admission::shed_cutoff::GateLoad;
 use crate::admission::shed_cutoff::ShedCutoff;
@@ -53,6 +54,7 @@
 pub struct AdaptiveAdmission {
     settings: AdmissionSettings,
     limit: ConcurrencyLimit,
+    rate_limit: RateLimit,
     run_times: RunTimes,
     cutoff: ShedCutoff,
     shares: ClassShares,
@@ -74,6 +76,7 @@
         Self {
             settings: settings.clone(),
             limit: ConcurrencyLimit::new(settings),
+            rate_limit: RateLimit::default(),
             run_times: RunTimes::new(),
             cutoff: ShedCutoff::new(settings),
             shares: ClassShares { long_share: settings.long_share },
@@ -107,6 +110,7 @@
     /// Advances the time and closes the windows that have ended.
     fn advance(&mut self, now_us: u64) {
         self.now_us = self.now_us.max(now_us);
+        self.rate_limit.advance(now_us);
         self.queue.mark_urgent(now_us);
         if now_us >= self.limit.window_end_us() {
             self.record_stalled(now_us);
@@ -153,6 +157,18 @@
 
     /// Time until all queued work of a class up to and including a rank has started, in µs.
     fn queue_delay_us(&self, class: WorkClass, rank: u8) -> u64 {
+        self.slot_delay_us(class, rank).max(self.rate_delay_us(rank))
+    }
+
+    /// Time until the rate limit admits a request after the queued ones up to its rank, in µs.
+    fn rate_delay_us(&self, rank: u8) -> u64 {
+        if !self.rate_limit.is_set() {
+            return 0;
+        }
+        self.rate_limit.wait_us(self.queue.count_up_to(rank))
+    }
+
+    fn slot_delay_us(&self, class: WorkClass, rank: u8) -> u64 {
         let slots = match class {
             WorkClass::Short => self.max_running().saturating_sub(self.long_running),
             WorkClass::Long => self.long_limit(rank, true),
@@ -162,7 +178,7 @@
 
     /// Returns the waiting request that runs next, if a slot is free for it.
     fn next_to_run(&self) -> Option<&WaitingRequest> {
-        if self.in_flight() >= self.max_running() {
+        if self.in_flight() >= self.max_running() || !self.rate_limit.may_start() {
             return None;
         }
         let urgent_rank = self.queue.urgent_rank();
@@ -179,6 +195,7 @@
         let WaitingRequest { ticket, class, expected_us, .. } = *waiting;
         self.running.insert(ticket, RunningRequest { class, expected_us, started_us: now_us });
         self.limit.record_start(self.running.len() as u32);
+        self.rate_limit.record_start();
     }
 
     fn refusal(&self, reason: Reason) -> AdmissionRefusal {
@@ -358,8 +375,10 @@
             return Some(self.now_us);
         }
         let event_us = self.queue.next_event_us()?;
+        let next_start_us = self.rate_limit.next_start_us().unwrap_or(u64::MAX);
         // The limit may rise at the end of a window without any other event.
-        Some(event_us.min(self.limit.window_end_us().max(self.now_us + 1)))
+        let window_end_us = self.limit.window_end_us().min(next_start_us);
+        Some(event_us.min(window_end_us.max(self.now_us + 1)))
     }
 
     fn withdraw(&mut self, ticket: Ticket, now_us: u64) {
@@ -397,4 +416,9 @@
         self.advance(now_us);
         self.limit.set_slots(slots);
     }
+
+    fn set_rate_limit(&mut self, max_requests_per_s: Option<f64>, now_us: u64) {
+        self.advance(now_us);
+        self.rate_limit.set(max_requests_per_s, now_us);
+    }
 }
--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -12,6 +12,7 @@
 mod kind_limits;
 mod naive;
 mod policy;
+mod rate_limit;
 mod run_time_means;
 mod run_times;
 mod settings;
--- a/crates/policy/src/admission/naive.rs
+++ b/crates/policy/src/admission/naive.rs
@@ -15,7 +15,7 @@
 
 /// Baseline for comparisons: runs up to the number of announced slots and one bounded FIFO queue.
 ///
-/// It ignores rank, class, deadline and latency.
+/// It ignores rank, class, deadline, latency and rate limits.
 #[derive(Debug)]
 pub struct NaiveAdmission {
     slots: u32,
@@ -107,4 +107,6 @@
     fn set_slots(&mut self, slots: u32, _now_us: u64) {
         self.slots = slots.max(1);
     }
+
+    fn set_rate_limit(&mut self, _max_requests_per_s: Option<f64>, _now_us: u64) {}
 }
--- a/crates/policy/src/admission/policy.rs
+++ b/crates/policy/src/admission/policy.rs
@@ -121,4 +121,8 @@
 
     /// Sets the number of slots that the backend server announced, an upper bound of the limit.
     fn set_slots(&mut self, slots: u32, now_us: u64);
+
+    /// Sets how many requests per second the backend server takes, as named in its responses, or
+    /// lifts the limit. The caller must call `poll` afterwards.
+    fn set_rate_limit(&mut self, max_requests_per_s: Option<f64>, now_us: u64);
 }
--- a/crates/policy/src/admission/slot_admission.rs
+++ b/crates/policy/src/admission/slot_admission.rs
@@ -5,6 +5,7 @@
 use tarragon_model::call::Reason;
 
 use crate::admission::kind_limits::KindLimits;
+use crate::admission::rate_limit::RateLimit;
 use crate::admission::run_time_means::RunTimeMeans;
 use crate::admission::AdmissionAdvice;
 use crate::admission::AdmissionDecision;
@@ -104,6 +105,7 @@
     /// Totals of the waiting requests by rank and kind.
     queued: BTreeMap<(u8, u32), QueuedTotal>,
     limits: KindLimits,
+    rate_limit: RateLimit,
     run_times: RunTimeMeans,
     /// Refusals that the next poll returns.
     pending_refusals: Vec<QueueDecision>,
@@ -121,6 +123,7 @@
             by_latest_start: BTreeSet::new(),
             queued: BTreeMap::new(),
             limits: KindLimits::new(settings.kind_limits),
+            rate_limit: RateLimit::default(),
             run_times: RunTimeMeans::new(settings.default_run_us),
             pending_refusals: Vec::new(),
             is_draining: false,
@@ -139,7 +142,25 @@
 
     /// Predicted time until a new request with this rank and kind would start, in µs.
     fn predicted_wait_us(&self, rank: u8, kind: u32) -> u64 {
-        self.slot_wait_us(rank).max(self.kind_wait_us(rank, kind))
+        let slot_wait_us = self.slot_wait_us(rank).max(self.rate_wait_us(rank));
+        slot_wait_us.max(self.kind_wait_us(rank, kind))
+    }
+
+    /// Predicted time until the rate limit admits another request with this rank, in µs.
+    fn rate_wait_us(&self, rank: u8) -> u64 {
+        if !self.rate_limit.is_set() {
+            return 0;
+        }
+        let ahead = self.queued.range(..=(rank, u32::MAX));
+        self.rate_limit.wait_us(ahead.map(|(_, queued)| queued.count).sum())
+    }
+
+    /// Whether a new request starts now instead of in the order of the queue. While a slot is free, a
+    /// request waits only if its kind is at its limit or the rate limit is reached.
+    fn starts_at_once(&self, kind: u32) -> bool {
+        let is_rate_free =
+            !self.rate_limit.is_set() || (self.queue.is_empty() && self.rate_limit.may_start());
+        is_rate_free && self.has_free_slot() && self.limits.may_start(kind)
     }
 
     /// Predicted time until a slot is free for a request with this rank, in µs.
@@ -189,6 +210,7 @@
     fn start(&mut self, ticket: Ticket, kind: u32) {
         self.running.insert(ticket, kind);
         self.limits.record_start(kind);
+        self.rate_limit.record_start();
     }
 
     /// Rank and ticket of the first waiting request whose kind is below its limit.
@@ -213,8 +235,8 @@
         }
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
-        // While a slot is free, a request waits only if its kind is at its limit.
-        if self.has_free_slot() && self.limits.may_start(kind) {
+        self.rate_limit.advance(now_us);
+        if self.starts_at_once(kind) {
             self.start(ticket, kind);
             return AdmissionDecision::Run(ticket);
         }
@@ -266,7 +288,8 @@
             let refusal = self.refusal(Reason::Late, rank, waiting.kind);
             decisions.push(QueueDecision::Refuse(ticket, refusal));
         }
-        while self.has_free_slot() {
+        self.rate_limit.advance(now_us);
+        while self.has_free_slot() && self.rate_limit.may_start() {
             let Some((rank, ticket)) = self.next_to_run() else { break };
             let Some(waiting) = self.remove(rank, ticket) else { break };
             self.start(ticket, waiting.kind);
@@ -279,7 +302,10 @@
         if !self.pending_refusals.is_empty() {
             return Some(0);
         }
-        self.by_latest_start.first().map(|(latest_start_us, ..)| latest_start_us + 1)
+        let (latest_start_us, ..) = self.by_latest_start.first()?;
+        let is_slot_free = self.has_free_slot() && self.next_to_run().is_some();
+        let next_start_us = self.rate_limit.next_start_us().filter(|_| is_slot_free);
+        Some(next_start_us.map_or(latest_start_us + 1, |at_us| at_us.min(latest_start_us + 1)))
     }
 
     fn withdraw(&mut self, ticket: Ticket, _now_us: u64) {
@@ -296,11 +322,13 @@
 
     fn advice(&self, _now_us: u64) -> AdmissionAdvice {
         let in_flight = (self.running.len() + self.queue.len()) as u32;
-        let advice =
-            AdmissionAdvice { in_flight, limit: self.limit(), ..AdmissionAdvice::default() };
+        let limit = self.rate_limit.concurrency(self.run_times.overall_us(), self.limit());
+        let advice = AdmissionAdvice { in_flight, limit, ..AdmissionAdvice::default() };
         let mut ranks = self.queued.keys().map(|(rank, _)| *rank);
-        let overloaded_rank =
-            ranks.find(|rank| self.slot_wait_us(*rank) > self.settings.advice_min_wait_us);
+        let overloaded_rank = ranks.find(|rank| {
+            let wait_us = self.slot_wait_us(*rank).max(self.rate_wait_us(*rank));
+            wait_us > self.settings.advice_min_wait_us
+        });
         match overloaded_rank {
             Some(rank) => AdmissionAdvice { cutoff_rank: rank, cutoff_hash: 0, ..advice },
             None => advice,
@@ -325,6 +353,10 @@
             self.slots = slots;
         }
     }
+
+    fn set_rate_limit(&mut self, max_requests_per_s: Option<f64>, now_us: u64) {
+        self.rate_limit.set(max_requests_per_s, now_us);
+    }
 }
 
 #[cfg(test)]
--- a/crates/policy/src/admission/slot_admission/tests.rs
+++ b/crates/policy/src/admission/slot_admission/tests.rs
@@ -316,3 +316,93 @@
         |counts: &CountsByKind| counts.values().map(|count| count.completed_in_time).sum::<u32>();
     assert!(total(&slots) > total(&adaptive), "{slots:?} {adaptive:?}");
 }
+
+/// Slots of a server that names a limit; its slots are not what limits it.
+const SLOTS_OF_LIMITED: u32 = 50;
+
+/// Plays a demand of 40 requests per second, half of them important, for `duration_us` at the gate
+/// of a server that names a limit. Returns the start times with the rank of each request.
+fn starts_at_limit(
+    gate: &mut dyn AdmissionPolicy,
+    max_requests_per_s: f64,
+    seed: u64,
+    duration_us: u64,
+) -> Vec<(u64, u8)> {
+    const RUN_US: u64 = 80 * MS;
+    let mut rng = Pcg32::seed_from_u64(seed);
+    gate.set_slots(SLOTS_OF_LIMITED, 0);
+    gate.set_rate_limit(Some(max_requests_per_s), 0);
+    let (mut starts, mut ranks, mut ends) = (vec![], BTreeMap::new(), BTreeMap::new());
+    let mut next_arrival_us = 0;
+    for now_us in (0..duration_us).step_by(MS as usize) {
+        while next_arrival_us <= now_us {
+            let counter = starts.len() as u64 + 1;
+            let rank = if rng.random_bool(0.5) { IMPORTANT_RANK } else { UNIMPORTANT_RANK };
+            match gate.offer(&request(counter, rank, KIND, SECOND), now_us) {
+                AdmissionDecision::Run(ticket) => {
+                    starts.push((now_us, rank));
+                    ends.insert((now_us + RUN_US, ticket), ());
+                }
+                AdmissionDecision::Wait(ticket) => drop(ranks.insert(ticket, rank)),
+                AdmissionDecision::Refuse(_) => {}
+            }
+            next_arrival_us += rng.random_range(0..50 * MS);
+        }
+        while let Some((&(end_us, ticket), ())) = ends.first_key_value() {
+            if end_us > now_us {
+                break;
+            }
+            ends.pop_first();
+            gate.finish(ticket, &answered(RUN_US), now_us);
+        }
+        for decision in gate.poll(now_us) {
+            if let QueueDecision::Run(ticket) = decision {
+                starts.push((now_us, ranks[&ticket]));
+                ends.insert((now_us + RUN_US, ticket), ());
+            }
+        }
+    }
+    starts
+}
+
+#[test]
+fn no_window_has_more_starts_than_a_limited_server_takes() {
+    const WINDOW_US: u64 = 4 * SECOND;
+    fn keeps_limit(seed: u64, limit: u8) -> bool {
+        let max_requests_per_s = f64::from(limit) / 8.0;
+        // The users allow one and a half times the limit, and 5 more.
+        let allowed = (max_requests_per_s * 4.0 * 1.5 + 5.0) as usize;
+        let policies: [Box<dyn AdmissionPolicy>; 2] = [
+            Box::new(gate(SLOTS_OF_LIMITED)),
+            Box::new(AdaptiveAdmission::new(&AdmissionSettings::default())),
+        ];
+        policies.into_iter().all(|mut gate| {
+            let starts = starts_at_limit(gate.as_mut(), max_requests_per_s, seed, 12 * SECOND);
+            starts.iter().enumerate().all(|(first, (from_us, _))| {
+                let later = starts[first..].iter();
+                later.take_while(|(at_us, _)| *at_us < from_us + WINDOW_US).count() <= allowed
+            })
+        })
+    }
+    check_property(7, 40, keeps_limit as fn(u64, u8) -> bool);
+}
+
+#[test]
+fn a_limited_server_gets_what_it_takes_and_the_important_requests_first() {
+    let starts = starts_at_limit(&mut gate(SLOTS_OF_LIMITED), 20.0, 1, 20 * SECOND);
+    let important = starts.iter().filter(|(_, rank)| *rank == IMPORTANT_RANK).count();
+    assert!(starts.len() >= 360, "{} of 400 possible requests started", starts.len());
+    // About 400 important requests arrive.
+    assert!(important * 10 >= starts.len() * 9, "{important} of {} are important", starts.len());
+}
+
+#[test]
+fn requests_start_at_once_when_the_limit_is_lifted() {
+    let mut gate = gate(SLOTS_OF_LIMITED);
+    gate.set_rate_limit(Some(0.0), 0);
+    let decisions: Vec<_> =
+        (0..3).map(|n| gate.offer(&request(n, RANK, KIND, 10 * SECOND), 0)).collect();
+    assert!(matches!(decisions[..2], [AdmissionDecision::Run(_), AdmissionDecision::Wait(_)]));
+    gate.set_rate_limit(None, MS);
+    assert_eq!(gate.poll(MS).len(), decisions.len() - 1);
+}
--- a/crates/policy/src/admission/wait_queue.rs
+++ b/crates/policy/src/admission/wait_queue.rs
@@ -126,6 +126,12 @@
         expiry.into_iter().chain(urgency).min()
     }
 
+    /// Number of waiting requests up to and including a rank.
+    pub(super) fn count_up_to(&self, rank: u8) -> u32 {
+        let end = (rank, Ticket(u64::MAX));
+        self.by_rank.iter().map(|queue| queue.range(..=end).count() as u32).sum()
+    }
+
     /// Removes all requests and returns their tickets in the order of arrival.
     pub(super) fn take_all(&mut self) -> Vec<Ticket> {
         let tickets = self.by_ticket.keys().copied().collect();
