Tell a restarted gate the limit of its server that its callers know

What callers saw: nothing, but after a restart of its node a server that takes 5 requests a second got all 105 of a burst, sent by nodes that had passed its limit on.

Cause: the limit is known only to the gate and is lost with it; the gate learns it again from the first response, and until then lets in as many as there are slots. Class of fault: soft state of one process that others rely on, lost in its restart.

Each response between nodes now carries the notice of the server with the start of the server that it belongs to. Nodes remember it by the name of the gate's node and send it with their calls. A gate that has had no response yet takes it over, if it is of the start that its server announced; its own responses win from then on, and the correction goes back to the callers. Weighed and not taken: waiting for a first response after each start (costs every restart a round of run time and still sends a request to a server that is leaving); gossip (the record of the old instance is gone).

--- a/crates/datapath/src/entry/outgoing_call.rs
+++ b/crates/datapath/src/entry/outgoing_call.rs
@@ -82,6 +82,7 @@
             retry_tokens,
             repeat_share,
             deadline: self.deadline,
+            known_notice: None,
         }
     }
 
--- a/crates/datapath/src/gate/gate_call.rs
+++ b/crates/datapath/src/gate/gate_call.rs
@@ -6,6 +6,7 @@
 use tarragon_policy::admission::AdmissionAdvice;
 use tarragon_policy::admission::MeanRunTime;
 
+use crate::backend::ReportedNotice;
 use crate::transport::Body;
 use crate::transport::CallFailure;
 
@@ -28,6 +29,9 @@
     pub repeat_share: f64,
     /// Time at which the caller stops waiting.
     pub deadline: Instant,
+    /// Notice of the backend server that the calling node knows from earlier responses. The gate may
+    /// have been restarted since.
+    pub known_notice: Option<ReportedNotice>,
 }
 
 /// Result of a call at a gate.
@@ -40,11 +44,13 @@
     pub advice: Option<AdmissionAdvice>,
     /// Mean run time of this kind of request at the gate, if it is known.
     pub run_time: Option<MeanRunTime>,
+    /// Notice of the backend server, unless the server is well and the call carried no notice.
+    pub notice: Option<ReportedNotice>,
 }
 
 impl GateResponse {
     /// Result of a call that no gate handled; the retry tokens of the call are lost.
     pub fn failed(failure: CallFailure) -> Self {
-        Self { result: Err(failure), unused_tokens: 0, advice: None, run_time: None }
+        Self { result: Err(failure), unused_tokens: 0, advice: None, run_time: None, notice: None }
     }
 }
--- a/crates/datapath/src/gate/request_gate.rs
+++ b/crates/datapath/src/gate/request_gate.rs
@@ -6,7 +6,6 @@
 use std::time::Instant;
 
 use http::header;
-use http::response::Parts;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -87,7 +86,7 @@
     pub(crate) retry: Arc<Mutex<Box<dyn RetryPolicy>>>,
     pub(crate) server_notices: ServerNotices,
     catalogue: watch::Receiver<Arc<Catalogue>>,
-    interface: Arc<dyn BackendInterface>,
+    pub(crate) interface: Arc<dyn BackendInterface>,
     failure_log: LogRateLimiter,
 }
 
@@ -142,6 +141,10 @@
         let request_kind = call.request_kind;
         let request_tag = self.interface.correlation_tag(call.request.headers());
         let started = Instant::now();
+        let known_notice = call.known_notice;
+        if let Some(known) = &known_notice {
+            self.adopt_notice(known);
+        }
         let result = match call.context.key.clone() {
             Some(key) => self.run_keyed(key, call, span).await,
             None => self.run_unkeyed(call, span).await,
@@ -156,6 +159,7 @@
             unused_tokens: retry_tokens.close(),
             advice: Some(self.admission_queue.advice()),
             run_time: self.admission_queue.mean_run_time(request_kind),
+            notice: self.server_notices.report(known_notice.is_some()),
         }
     }
 
@@ -319,15 +323,6 @@
         Err(Reason::NoServer.into())
     }
 
-    /// Records what the backend server says about itself in the head of a response.
-    fn record_notice(&self, head: &Parts, started_at_ms: Option<u64>, sent_at: Instant) {
-        let Some(notice) = self.interface.read_notice(head) else { return };
-        if let Some(notice) = self.server_notices.record(started_at_ms, notice, sent_at) {
-            self.metrics.count("gate.notice_changed", 1);
-            self.admission_queue.set_rate_limit(notice.max_requests_per_s);
-        }
-    }
-
     /// Outcome of a run whose response has this status, if the response is received completely.
     fn run_outcome_for(&self, status: StatusCode) -> RunOutcome {
         match status {
--- a/crates/datapath/src/gate/server_notices.rs
+++ b/crates/datapath/src/gate/server_notices.rs
@@ -2,11 +2,14 @@
 use std::sync::MutexGuard;
 use std::time::Instant;
 
+use http::response::Parts;
 use tracing::info;
 
 use crate::backend::BackendStatus;
+use crate::backend::ReportedNotice;
 use crate::backend::ServerNotice;
 use crate::datapath::Clock;
+use crate::gate::Gate;
 use crate::transport::LogRateLimiter;
 
 /// Maximum average rate of log lines about changed notices, in lines per second.
@@ -22,7 +25,7 @@
 struct NoticeState {
     /// Start of the backend server that sent the notice.
     started_at_ms: Option<u64>,
-    /// `None` until a response of this start arrives.
+    /// `None` until a response of this start arrives or another node tells of one.
     notice: Option<ServerNotice>,
     /// Arrival of the latest response with a limit.
     limited_at: Option<Instant>,
@@ -68,6 +71,38 @@
         })
     }
 
+    /// Takes over the notice that another node knows of the backend server that started at
+    /// `started_at_ms`. A limit counts only until the first response, but a server that is leaving
+    /// does not change its mind. Returns the notice in force if it has changed.
+    pub(crate) fn adopt(
+        &self,
+        started_at_ms: Option<u64>,
+        known: &ReportedNotice,
+    ) -> Option<ServerNotice> {
+        if started_at_ms != Some(known.started_at_ms) {
+            return None;
+        }
+        let mut state = self.lock();
+        state.forget_earlier_start(started_at_ms);
+        let previous = state.notice.unwrap_or_default();
+        let mut notice = state.notice.unwrap_or(known.notice);
+        notice.is_leaving |= known.notice.is_leaving;
+        state.notice = Some(notice);
+        drop(state);
+        (notice != previous).then(|| {
+            self.log_change(started_at_ms, notice, "gate: another node knows the notice");
+            notice
+        })
+    }
+
+    /// Notice to report to calling nodes. That of a server that is well is reported only if
+    /// `is_correction` is set, because the calling node knows another one.
+    pub(crate) fn report(&self, is_correction: bool) -> Option<ReportedNotice> {
+        let state = self.lock();
+        let notice = state.notice.filter(|n| is_correction || *n != ServerNotice::default())?;
+        Some(ReportedNotice { started_at_ms: state.started_at_ms?, notice })
+    }
+
     /// Forgets the notice if the status is that of a later start of the backend server. An expired
     /// announcement is no later start, unless starts cannot be told apart.
     ///
@@ -104,3 +139,27 @@
         }
     }
 }
+
+impl Gate {
+    /// Records what the backend server says about itself in the head of a response.
+    pub(super) fn record_notice(&self, head: &Parts, started_at_ms: Option<u64>, sent_at: Instant) {
+        let Some(notice) = self.interface.read_notice(head) else { return };
+        if let Some(notice) = self.server_notices.record(started_at_ms, notice, sent_at) {
+            self.apply_notice(notice);
+        }
+    }
+
+    /// Takes over what another node knows of the backend server, if this gate has had no response
+    /// from it yet.
+    pub(super) fn adopt_notice(&self, known: &ReportedNotice) {
+        let started_at_ms = self.status.borrow().started_at_ms;
+        if let Some(notice) = self.server_notices.adopt(started_at_ms, known) {
+            self.apply_notice(notice);
+        }
+    }
+
+    fn apply_notice(&self, notice: ServerNotice) {
+        self.metrics.count("gate.notice_changed", 1);
+        self.admission_queue.set_rate_limit(notice.max_requests_per_s);
+    }
+}
--- a/crates/datapath/src/peer/auth.rs
+++ b/crates/datapath/src/peer/auth.rs
@@ -7,7 +7,7 @@
 use tarragon_wire::DeploymentKey;
 
 /// Headers that the keyed hash covers, in addition to method and path.
-const SIGNED_HEADERS: [HeaderName; 12] = [
+const SIGNED_HEADERS: [HeaderName; 13] = [
     headers::KIND,
     headers::SERVICE,
     headers::REQUEST_ID,
@@ -20,6 +20,7 @@
     headers::ATTEMPT,
     headers::RETRY_TOKENS,
     headers::REPEAT_SHARE,
+    headers::NOTICE,
 ];
 
 /// Signs requests between nodes with the deployment key and verifies their signatures.
--- a/crates/datapath/src/peer/mod.rs
+++ b/crates/datapath/src/peer/mod.rs
@@ -2,6 +2,7 @@
 //! attempt that has not started from running.
 
 mod auth;
+mod known_notices;
 mod managed_connection;
 mod peer_body;
 mod peer_connection;
--- a/crates/datapath/src/peer/peer_pool.rs
+++ b/crates/datapath/src/peer/peer_pool.rs
@@ -33,6 +33,7 @@
 use crate::gate::AttemptKey;
 use crate::gate::GateCall;
 use crate::gate::GateResponse;
+use crate::peer::known_notices::KnownNotices;
 use crate::peer::managed_connection::ManagedConnection;
 use crate::peer::peer_body::PeerBody;
 use crate::peer::peer_connection::header_value;
@@ -96,6 +97,8 @@
 /// Another node, with one connection for each class of work.
 pub(crate) struct Peer {
     pub(crate) instance: InstanceId,
+    /// Name of the node, which it keeps when it is restarted.
+    node: String,
     pub(crate) address: SocketAddr,
     /// Service of the peer's backend server; it changes when the peer announces another one.
     service: Mutex<String>,
@@ -109,6 +112,7 @@
     fn new(record: &MemberRecord) -> Self {
         Self {
             instance: record.instance,
+            node: record.node.clone(),
             address: record.peer_address,
             service: Mutex::new(record.service.clone()),
             removed: CancellationToken::new(),
@@ -149,6 +153,7 @@
 /// Connections to the other nodes.
 pub struct PeerPool {
     peers: RwLock<HashMap<InstanceId, Arc<Peer>>>,
+    notices: KnownNotices,
     shared: Arc<PeerShared>,
 }
 
@@ -158,7 +163,11 @@
         let PeerPoolDependencies { settings, clock, auth, metrics, route } = dependencies;
         let (tracker, stop) = (TaskTracker::new(), CancellationToken::new());
         let shared = PeerShared { settings, clock, auth, metrics, route, tracker, stop };
-        Self { peers: RwLock::default(), shared: Arc::new(shared) }
+        Self {
+            peers: RwLock::default(),
+            notices: KnownNotices::default(),
+            shared: Arc::new(shared),
+        }
     }
 
     /// Replaces the set of peers. Connections to nodes that are no longer members are closed when
@@ -196,11 +205,12 @@
     pub async fn call(
         &self,
         target: InstanceId,
-        call: GateCall,
+        mut call: GateCall,
         class: WorkClass,
         needs_recent_response: bool,
     ) -> Result<GateResponse, PeerCallError> {
         let peer = self.find(target).ok_or(PeerCallError::Unsent)?;
+        call.known_notice = self.notices.find(&peer.node);
         let deadline = call.deadline;
         let connection =
             self.usable_connection(&peer, class, deadline, needs_recent_response).await;
@@ -246,6 +256,9 @@
         if let Some(advice) = &gate_response.advice {
             self.shared.advise(&peer, advice);
         }
+        if let Some(notice) = &gate_response.notice {
+            self.notices.record(&peer.node, notice);
+        }
         Ok(gate_response)
     }
 
@@ -318,6 +331,7 @@
             retry_tokens,
             repeat_share,
             deadline,
+            known_notice,
         } = call;
         let (mut parts, body) = request.into_parts();
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_string();
@@ -331,6 +345,9 @@
         map.insert(headers::ATTEMPT, attempt.into());
         map.insert(headers::RETRY_TOKENS, retry_tokens.into());
         map.insert(headers::REPEAT_SHARE, ((repeat_share * 1_000.0) as u32).into());
+        if let Some(notice) = known_notice {
+            map.insert(headers::NOTICE, header_value(&notice.to_string()));
+        }
         self.shared.auth.sign(&parts.method, &path, map);
         let authority = peer.address.to_string();
         let uri = Uri::builder().scheme("http").authority(authority).path_and_query(path);
@@ -409,6 +426,8 @@
     let (mut parts, incoming) = response.into_parts();
     let run_time = parts.headers.get(headers::RUN_TIME);
     let run_time = run_time.and_then(|value| value.to_str().ok()?.parse().ok());
+    let notice = parts.headers.get(headers::NOTICE);
+    let notice = notice.and_then(|value| value.to_str().ok()?.parse().ok());
     let unused_tokens = parse_number(&parts.headers, headers::RETRY_TOKENS);
     let unused_tokens = unused_tokens.and_then(|n| u32::try_from(n).ok()).unwrap_or(0);
     let reason = parts.headers.get(headers::REASON).and_then(|value| value.to_str().ok());
@@ -425,5 +444,5 @@
         }
         _ => Err(Reason::BadAnswer.into()),
     };
-    GateResponse { result, unused_tokens, advice, run_time }
+    GateResponse { result, unused_tokens, advice, run_time, notice }
 }
--- a/crates/datapath/src/peer/peer_server.rs
+++ b/crates/datapath/src/peer/peer_server.rs
@@ -199,7 +199,7 @@
                 GateResponse { unused_tokens, ..GateResponse::failed(failure) }
             }
         };
-        let GateResponse { result, unused_tokens, advice, run_time } = gate_response;
+        let GateResponse { result, unused_tokens, advice, run_time, notice } = gate_response;
         let is_answered = result.is_ok();
         let retry_after_ms = result.as_ref().err().map_or(0, |failure| failure.retry_after_ms);
         let mut response = result.unwrap_or_else(CallFailure::into_response);
@@ -221,6 +221,9 @@
         if let Some(run_time) = run_time {
             map.insert(headers::RUN_TIME, header_value(&run_time.to_string()));
         }
+        if let Some(notice) = notice {
+            map.insert(headers::NOTICE, header_value(&notice.to_string()));
+        }
         response
     }
 
@@ -252,6 +255,7 @@
         let request_kind = parse_header(map, headers::KIND).unwrap_or(0);
         let repeat_share = parse_header(map, headers::REPEAT_SHARE).unwrap_or(0_u32);
         let repeat_share = f64::from(repeat_share) / 1_000.0;
+        let known_notice = parse_header(map, headers::NOTICE);
         strip_hop_headers(map);
         strip_tarragon_headers(map);
         let path = parts.uri.path_and_query().cloned();
@@ -268,6 +272,7 @@
             retry_tokens,
             repeat_share,
             deadline,
+            known_notice,
         })
     }
 }
--- a/crates/model/src/call/headers.rs
+++ b/crates/model/src/call/headers.rs
@@ -43,6 +43,9 @@
 pub const ADVICE: HeaderName = HeaderName::from_static("tarragon-advice");
 /// Mean run time of the kind of request at the responding gate; between nodes only.
 pub const RUN_TIME: HeaderName = HeaderName::from_static("tarragon-run-time");
+/// Notice of the backend server behind the responding gate, or the notice that the calling node
+/// knows of that server; between nodes only.
+pub const NOTICE: HeaderName = HeaderName::from_static("tarragon-notice");
 /// Requests per second that a backend server takes from all nodes together, in its responses.
 pub const MAX_REQUESTS_PER_S: HeaderName = HeaderName::from_static("tarragon-max-requests-per-s");
 /// Present, with any value, in the responses of a backend server that is about to end.
