Take a server that says in a response that it is leaving out of service

What callers saw: nothing yet, but a server that is leaving went on to get requests until its own announcement arrived, which may be seconds late; and again after a restart of its node, whose gate knew only the announcements.

Cause: the gate took the state of its server from announcements alone, although responses come sooner and on their own path. Same class as the limit: an input that nobody reads, and soft state that a restart loses.

The gate refuses requests for a start of a server from the first response on that says it is leaving, and hands it to the announcements, which keep the departure for that start and tell the other nodes. Callers of the gate tell it again after a restart, as with the limit. A later start takes requests again.

New tests: other nodes hear of it; a later start gets requests.

--- a/crates/datapath/src/backend/announcement_tracker.rs
+++ b/crates/datapath/src/backend/announcement_tracker.rs
@@ -205,6 +205,14 @@
     fn status(&self) -> watch::Receiver<BackendStatus> {
         self.status.subscribe()
     }
+
+    fn record_leaving(&self, id: &str, started_at_ms: u64) {
+        let is_present = self.mark_leaving(id, Some(started_at_ms));
+        info!(
+            server = id,
+            started_at_ms, is_present, "drain: the backend server says it is leaving"
+        );
+    }
 }
 
 #[async_trait]
--- a/crates/datapath/src/backend/backend_status.rs
+++ b/crates/datapath/src/backend/backend_status.rs
@@ -36,8 +36,12 @@
     }
 }
 
-/// Read access to the status of the node's backend server.
+/// The node's backend server, as its announcements and responses describe it.
 pub trait LocalBackend: Send + Sync {
     /// Channel with the current status.
     fn status(&self) -> watch::Receiver<BackendStatus>;
+
+    /// Records that the backend server said in a response that it is leaving, whatever its
+    /// announcements say. A later start of the server is not affected.
+    fn record_leaving(&self, id: &str, started_at_ms: u64);
 }
--- a/crates/datapath/src/datapath/data_path.rs
+++ b/crates/datapath/src/datapath/data_path.rs
@@ -133,7 +133,7 @@
             admission: policies.admission,
             once: policies.once,
             retry: Arc::clone(&retry),
-            status: backend.status(),
+            backend,
             catalogue: directory.catalogue(),
             key,
             metrics: Arc::clone(&metrics),
--- a/crates/datapath/src/gate/gate_dependencies.rs
+++ b/crates/datapath/src/gate/gate_dependencies.rs
@@ -8,7 +8,7 @@
 use tarragon_wire::DeploymentKey;
 use tokio::sync::watch;
 
-use crate::backend::BackendStatus;
+use crate::backend::LocalBackend;
 use crate::datapath::Clock;
 use crate::datapath::DataPathSettings;
 use crate::datapath::Metrics;
@@ -26,8 +26,8 @@
     pub once: Box<dyn OncePolicy>,
     /// Retry tokens of the node.
     pub retry: Arc<Mutex<Box<dyn RetryPolicy>>>,
-    /// Status of the backend server.
-    pub status: watch::Receiver<BackendStatus>,
+    /// The backend server.
+    pub backend: Arc<dyn LocalBackend>,
     /// Current catalogue of services.
     pub catalogue: watch::Receiver<Arc<Catalogue>>,
     /// Key for the digests of callers and requests.
--- a/crates/datapath/src/gate/request_gate.rs
+++ b/crates/datapath/src/gate/request_gate.rs
@@ -30,6 +30,7 @@
 use tracing::info;
 
 use crate::backend::BackendStatus;
+use crate::backend::LocalBackend;
 use crate::datapath::Clock;
 use crate::datapath::DataPathSettings;
 use crate::datapath::Metrics;
@@ -83,6 +84,7 @@
     pub(crate) tracker: TaskTracker,
     pub(crate) metrics: Arc<dyn Metrics>,
     pub(crate) status: watch::Receiver<BackendStatus>,
+    pub(crate) backend: Arc<dyn LocalBackend>,
     pub(crate) retry: Arc<Mutex<Box<dyn RetryPolicy>>>,
     pub(crate) server_notices: ServerNotices,
     catalogue: watch::Receiver<Arc<Catalogue>>,
@@ -93,7 +95,8 @@
 impl Gate {
     /// Creates a gate; `GateService` runs its timers.
     pub fn new(dependencies: GateDependencies) -> Self {
-        let GateDependencies { settings, clock, admission, once, retry, status, .. } = dependencies;
+        let GateDependencies { settings, clock, admission, once, retry, backend, .. } =
+            dependencies;
         let GateDependencies { catalogue, key, metrics, interface, .. } = dependencies;
         let tracker = TaskTracker::new();
         let spans = Arc::<ActiveSpans>::default();
@@ -114,7 +117,8 @@
             clock,
             tracker,
             metrics,
-            status,
+            status: backend.status(),
+            backend,
             retry,
             server_notices: ServerNotices::new(clock),
             catalogue,
@@ -214,6 +218,9 @@
         if status.service != service {
             return Err(Reason::NoServer.into());
         }
+        if self.server_notices.is_leaving(status.started_at_ms) {
+            return Err(Reason::Draining.into());
+        }
         match status.state {
             BackendState::Ready | BackendState::Starting => {
                 status.address.ok_or_else(|| Reason::NoServer.into())
--- a/crates/datapath/src/gate/server_notices.rs
+++ b/crates/datapath/src/gate/server_notices.rs
@@ -95,6 +95,13 @@
         })
     }
 
+    /// Whether the backend server that started at `started_at_ms` is leaving.
+    pub(crate) fn is_leaving(&self, started_at_ms: Option<u64>) -> bool {
+        let state = self.lock();
+        let is_same_start = state.started_at_ms == started_at_ms;
+        is_same_start && state.notice.is_some_and(|notice| notice.is_leaving)
+    }
+
     /// Notice to report to calling nodes. That of a server that is well is reported only if
     /// `is_correction` is set, because the calling node knows another one.
     pub(crate) fn report(&self, is_correction: bool) -> Option<ReportedNotice> {
@@ -145,7 +152,7 @@
     pub(super) fn record_notice(&self, head: &Parts, started_at_ms: Option<u64>, sent_at: Instant) {
         let Some(notice) = self.interface.read_notice(head) else { return };
         if let Some(notice) = self.server_notices.record(started_at_ms, notice, sent_at) {
-            self.apply_notice(notice);
+            self.apply_notice(notice, started_at_ms);
         }
     }
 
@@ -154,12 +161,17 @@
     pub(super) fn adopt_notice(&self, known: &ReportedNotice) {
         let started_at_ms = self.status.borrow().started_at_ms;
         if let Some(notice) = self.server_notices.adopt(started_at_ms, known) {
-            self.apply_notice(notice);
+            self.apply_notice(notice, started_at_ms);
         }
     }
 
-    fn apply_notice(&self, notice: ServerNotice) {
+    fn apply_notice(&self, notice: ServerNotice, started_at_ms: Option<u64>) {
         self.metrics.count("gate.notice_changed", 1);
         self.admission_queue.set_rate_limit(notice.max_requests_per_s);
+        let server_id = self.status.borrow().server_id.clone();
+        if let (true, Some(id), Some(started_at_ms)) = (notice.is_leaving, server_id, started_at_ms)
+        {
+            self.backend.record_leaving(&id, started_at_ms);
+        }
     }
 }
--- a/crates/datapath/tests/datapath/notices.rs
+++ b/crates/datapath/tests/datapath/notices.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::HeaderValue;
+use tarragon_model::member::BackendState;
 
 use crate::routed::configured_cluster;
 use crate::routed::send;
@@ -122,3 +123,28 @@
     send_burst(&entry).await;
     assert_eq!(backend.count(), before);
 }
+
+#[tokio::test]
+async fn other_nodes_hear_that_a_server_says_it_is_leaving() {
+    let backend = start_backend("x-leaving", "1").await;
+    let cluster = cluster_with_slots();
+    let server = start_server_node(&cluster, &backend).await;
+    server.set_status(|status| status.server_id = Some("s-1".into()));
+    let entry = cluster.start_node("entry", None).await;
+    wait_until_routed(&entry).await;
+    assert_eq!(server.backend_state(), BackendState::Draining);
+}
+
+/// Guards against keeping a server out of use that was started again after it had left.
+#[tokio::test]
+async fn a_later_start_of_a_server_that_left_gets_requests() {
+    let backend = start_backend("x-leaving", "1").await;
+    let cluster = cluster_with_slots();
+    let server = start_server_node(&cluster, &backend).await;
+    let entry = Arc::new(cluster.start_node("entry", None).await);
+    wait_until_routed(&entry).await;
+    server.set_status(|status| status.started_at_ms = Some(2));
+    let before = backend.count();
+    assert_eq!(send(&entry, "/one/7").await.status.as_u16(), 200);
+    assert_eq!(backend.count(), before + 1);
+}
--- a/crates/datapath/tests/datapath/support/cluster.rs
+++ b/crates/datapath/tests/datapath/support/cluster.rs
@@ -105,11 +105,21 @@
     fn record_duration_us(&self, _name: &'static str, _duration_us: u64) {}
 }
 
-struct TestBackend(watch::Receiver<BackendStatus>);
+struct TestBackend(watch::Sender<BackendStatus>);
 
 impl LocalBackend for TestBackend {
     fn status(&self) -> watch::Receiver<BackendStatus> {
-        self.0.clone()
+        self.0.subscribe()
+    }
+
+    fn record_leaving(&self, id: &str, started_at_ms: u64) {
+        self.0.send_modify(|status| {
+            if status.server_id.as_deref() == Some(id)
+                && status.started_at_ms == Some(started_at_ms)
+            {
+                status.state = BackendState::Draining;
+            }
+        });
     }
 }
 
@@ -156,6 +166,10 @@
         self.task.await.unwrap().unwrap();
     }
 
+    pub fn backend_state(&self) -> BackendState {
+        self.status.borrow().state
+    }
+
     pub fn set_status(&self, change: impl FnOnce(&mut BackendStatus)) {
         self.status.send_modify(change);
     }
@@ -225,7 +239,7 @@
             instance,
             key: DeploymentKey::from_text(KEY_TEXT),
             directory: Arc::new(directory),
-            backend: Arc::new(TestBackend(status.subscribe())),
+            backend: Arc::new(TestBackend(status.clone())),
             claims: Arc::clone(&self.claims) as Arc<dyn KeyClaims>,
             metrics: Arc::clone(&metrics) as Arc<dyn Metrics>,
             caller_interface: Arc::clone(&self.caller_interface),
