--- /dev/null
+++ b/crates/datapath/tests/datapath/crashes.rs
@@ -0,0 +1,133 @@
+//! Requests that crash the backend servers that run them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::routed::configured_cluster;
+use crate::routed::send;
+use crate::routed::wait_until_routed;
+use crate::support::Cluster;
+use crate::support::CrashingBackend;
+use crate::support::Node;
+
+/// Crashes after which a request is known to crash its servers.
+const CRASHES: usize = 3;
+
+/// Time after them until which all nodes know of it (the users' `contactS`).
+const SPREAD_TIME: Duration = Duration::from_secs(3);
+
+/// Sendings that the users allow after that.
+const MAX_LATER_SENDINGS: usize = 3;
+
+/// Time in which a crashed server is back, with a margin.
+const RESTART_TIME: Duration = Duration::from_millis(500);
+
+struct Fleet {
+    cluster: Cluster,
+    backends: Vec<CrashingBackend>,
+    servers: Vec<Node>,
+    entries: Vec<Arc<Node>>,
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let cluster = configured_cluster();
+        let (mut backends, mut servers, mut entries) = (vec![], vec![], vec![]);
+        for name in ["server-1", "server-2", "server-3", "server-4"] {
+            let backend = CrashingBackend::start().await;
+            servers.push(cluster.start_node(name, Some(backend.address)).await);
+            backends.push(backend);
+        }
+        for name in ["entry-1", "entry-2", "entry-3"] {
+            entries.push(Arc::new(cluster.start_node(name, None).await));
+        }
+        for entry in &entries {
+            wait_until_routed(entry).await;
+        }
+        Self { cluster, backends, servers, entries }
+    }
+
+    fn crashes(&self) -> usize {
+        self.backends.iter().map(CrashingBackend::crashes).sum()
+    }
+
+    /// Sends the crashing request through one entry after the other, until it has crashed as many
+    /// servers, and waits until the nodes know of it.
+    async fn crash_servers(&self) {
+        for entry in self.entries.iter().cycle().take(10 * CRASHES) {
+            send(entry, "/one/crash").await;
+            tokio::time::sleep(RESTART_TIME).await;
+            if self.crashes() >= CRASHES {
+                break;
+            }
+        }
+        assert!(self.crashes() >= CRASHES);
+        tokio::time::sleep(SPREAD_TIME).await;
+    }
+}
+
+/// Sends the crashing request several times through each of the entries.
+async fn send_again(fleet: &Fleet, entries: &[Arc<Node>]) -> usize {
+    let before = fleet.crashes();
+    for entry in entries.iter().cycle().take(4 * entries.len()) {
+        send(entry, "/one/crash").await;
+        tokio::time::sleep(RESTART_TIME).await;
+    }
+    fleet.crashes() - before
+}
+
+#[tokio::test]
+async fn a_request_that_crashed_three_servers_reaches_no_more_of_them() {
+    let fleet = Fleet::start().await;
+    fleet.crash_servers().await;
+    let later = send_again(&fleet, &fleet.entries).await;
+    assert!(later <= MAX_LATER_SENDINGS, "{later} more servers crashed");
+    // Other requests are served.
+    assert_eq!(send(&fleet.entries[0], "/one/7").await.status.as_u16(), 200);
+}
+
+#[tokio::test]
+async fn a_restarted_node_knows_which_requests_crashed_servers() {
+    let mut fleet = Fleet::start().await;
+    fleet.crash_servers().await;
+    for index in 0..fleet.servers.len() {
+        let server = fleet.servers.remove(0);
+        fleet.cluster.remove(server.instance);
+        server.stop().await;
+        let address = fleet.backends[index].address;
+        let name = format!("server-{}", index + 1);
+        fleet.servers.push(fleet.cluster.start_node(&name, Some(address)).await);
+        // The entries open connections to the new node.
+        for entry in fleet.entries.iter().cycle().take(4 * fleet.entries.len()) {
+            send(entry, "/one/7").await;
+        }
+    }
+    let restarted = Arc::new(fleet.cluster.start_node("entry-4", None).await);
+    wait_until_routed(&restarted).await;
+    let later = send_again(&fleet, &[restarted]).await;
+    assert!(later <= MAX_LATER_SENDINGS, "{later} more servers crashed");
+}
+
+/// Guards against refusing requests that only ran while another one crashed their server.
+#[tokio::test]
+async fn requests_that_ran_beside_the_crashing_one_are_served_later() {
+    let fleet = Fleet::start().await;
+    for round in 0..2 * CRASHES {
+        let beside: Vec<_> = fleet
+            .entries
+            .iter()
+            .map(|entry| {
+                let entry = Arc::clone(entry);
+                tokio::spawn(async move { send(&entry, "/two/7").await })
+            })
+            .collect();
+        send(&fleet.entries[round % fleet.entries.len()], "/one/crash").await;
+        for request in beside {
+            request.await.unwrap();
+        }
+        tokio::time::sleep(RESTART_TIME).await;
+    }
+    for entry in &fleet.entries {
+        assert_eq!(send(entry, "/two/7").await.status.as_u16(), 200);
+    }
+}
--- a/crates/datapath/tests/datapath/main.rs
+++ b/crates/datapath/tests/datapath/main.rs
@@ -8,6 +8,7 @@
 mod answers;
 mod calls;
 mod cancel;
+mod crashes;
 mod exits;
 mod keys;
 mod lost;
--- a/crates/datapath/tests/datapath/support/mod.rs
+++ b/crates/datapath/tests/datapath/support/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod cluster;
+mod crashing_backend;
 mod fake_backend;
 mod headers;
 mod policies;
@@ -12,6 +13,7 @@
 pub use client::Reply;
 pub use cluster::Cluster;
 pub use cluster::Node;
+pub use crashing_backend::CrashingBackend;
 pub use fake_backend::start_closing_backend;
 pub use fake_backend::start_keep_alive_backend;
 pub use fake_backend::text_response;
