Put requests that crash their servers in quarantine

Cause: each sending was judged by itself. A broken connection said nothing about the request, and what one gate saw stayed there. Class of fault: a retry policy without a memory of the request, where the request is the failure.

Nodes now tell each other the crashes under a request, by its fingerprint: with each message for 10 s after a change, with heartbeats later, so that a restarted node learns them with its first connections; a call carries what its node knows of the request itself. After two crashes a node does not repeat the request and a gate runs one such request at a time, which tells the cause from what ran beside it; after three it is refused (503, quarantined, without a time to come back) at entries and gates. An answer clears a request everywhere. After 15 minutes without a further crash it is tried again.

Weighed and not taken: refusing after two crashes (requests that were only sent again together would be refused too); a 4xx status (the request may be proper); the gossip of members (its records are of members, and the nodes that call a service talk to its gates anyway).

--- a/crates/datapath/src/datapath/data_path.rs
+++ b/crates/datapath/src/datapath/data_path.rs
@@ -148,6 +148,7 @@
             auth: auth.clone(),
             metrics: Arc::clone(&metrics),
             route: Arc::clone(&route),
+            crashes: Arc::clone(&crashes),
         }));
         let forwarder = Arc::new(Forwarder::new(ForwarderDependencies {
             settings: Arc::clone(&settings),
@@ -157,6 +158,7 @@
             peers: Arc::clone(&peers),
             route: Arc::clone(&route),
             retry,
+            crashes,
             claims,
             catalogue: directory.catalogue(),
             members: directory.members(),
--- a/crates/datapath/src/entry/forwarder.rs
+++ b/crates/datapath/src/entry/forwarder.rs
@@ -14,6 +14,7 @@
 use tarragon_model::identity::InstanceId;
 use tarragon_model::identity::RequestId;
 use tarragon_model::member::MemberRecord;
+use tarragon_policy::quarantine::Suspicion;
 use tarragon_policy::retry::RetryPolicy;
 use tarragon_policy::routing::CallOutcome;
 use tarragon_policy::routing::RouteDecision;
@@ -34,6 +35,7 @@
 use crate::gate::GateResponse;
 use crate::peer::PeerCallError;
 use crate::peer::PeerPool;
+use crate::quarantine::SharedLedger;
 use crate::transport::Body;
 use crate::transport::CallFailure;
 use crate::transport::LogRateLimiter;
@@ -61,6 +63,8 @@
     pub route: Arc<Mutex<Box<dyn RoutePolicy>>>,
     /// Ledger of the retry tokens at this node.
     pub retry: Arc<Mutex<Box<dyn RetryPolicy>>>,
+    /// Requests under which backend servers have crashed.
+    pub(crate) crashes: Arc<SharedLedger>,
     /// Claims idempotency keys that no node issued.
     pub claims: Arc<dyn KeyClaims>,
     /// Catalogue in force.
@@ -97,6 +101,11 @@
         RequestId { instance: self.dependencies.instance, counter }
     }
 
+    /// How likely the call is to crash the server that runs it.
+    fn suspicion(&self, call: &OutgoingCall) -> Suspicion {
+        self.dependencies.crashes.suspicion(call.fingerprint)
+    }
+
     fn route(&self) -> MutexGuard<'_, Box<dyn RoutePolicy>> {
         self.dependencies.route.lock().expect("no thread panics while it holds the lock")
     }
@@ -112,6 +121,9 @@
         self.retry().record_attempt(&call.service, repeat_share, self.dependencies.clock.now_us());
         let result = match &call.context.key {
             Some(key) => self.forward_keyed(call, key, repeat_share).await,
+            None if self.suspicion(call) == Suspicion::Quarantined => {
+                Err(Reason::Quarantined.into())
+            }
             None => self.forward_plain(call, repeat_share).await,
         };
         let is_overload = matches!(&result, Err(failure) if failure.reason.is_overload());
@@ -160,7 +172,8 @@
             if !failure.is_not_run() {
                 *unknown = Some(failure);
             }
-            if !may_retry(call, failure) {
+            let may_crash_server = !failure.is_not_run() && self.suspicion(call) >= Suspicion::High;
+            if may_crash_server || !may_retry(call, failure) {
                 return Err(failure);
             }
             // A request on a route with `max_attempts` has one token for each backend server beyond
--- a/crates/datapath/src/gate/crash_detector.rs
+++ b/crates/datapath/src/gate/crash_detector.rs
@@ -7,10 +7,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use tarragon_model::call::Reason;
 use tarragon_policy::quarantine::RequestFingerprint;
+use tarragon_policy::quarantine::Suspicion;
 use tokio::net::TcpStream;
 
 use crate::quarantine::SharedLedger;
+use crate::transport::CallFailure;
 
 /// Time in which the backend server on the same host accepts or refuses a connection. A server that
 /// does neither may only be busy.
@@ -20,6 +23,9 @@
 /// longer to start.
 const CRASH_WINDOW: Duration = Duration::from_millis(500);
 
+/// Time after which a caller should send a suspected request again, in ms, if another one runs.
+const SUSPECT_RETRY_AFTER_MS: u64 = 700;
+
 /// Detects crashes of the backend server, and which requests it ran at the time.
 ///
 /// A broken connection alone is no crash. The server has ended if it then refuses connections.
@@ -45,17 +51,27 @@
     }
 
     /// Records that the server runs a request until the returned guard is dropped.
+    ///
+    /// # Errors
+    /// `Shed` if the request may crash the server and another such request runs. Only one at a time
+    /// runs, so that a crash tells which of them is the cause.
     pub(crate) fn start_run(
         &self,
         fingerprint: Option<RequestFingerprint>,
-    ) -> CrashDetectorRun<'_> {
+    ) -> Result<CrashDetectorRun<'_>, CallFailure> {
         let mut running = self.lock();
+        let is_suspect = |fingerprint| self.ledger.suspicion(fingerprint) >= Suspicion::High;
+        if fingerprint.is_some_and(is_suspect)
+            && running.fingerprints.values().any(|other| is_suspect(*other))
+        {
+            return Err(CallFailure::retry_after(Reason::Shed, SUSPECT_RETRY_AFTER_MS));
+        }
         let run = running.next_run;
         running.next_run += 1;
         if let Some(fingerprint) = fingerprint {
             running.fingerprints.insert(run, fingerprint);
         }
-        CrashDetectorRun { detector: self, run }
+        Ok(CrashDetectorRun { detector: self, run })
     }
 
     /// Checks whether the server has crashed, after a request lost its connection to it. All
--- a/crates/datapath/src/gate/gate_service.rs
+++ b/crates/datapath/src/gate/gate_service.rs
@@ -61,6 +61,7 @@
         loop {
             interval.tick().await;
             self.gate.keys.expire();
+            self.gate.crashes.expire();
             self.gate.spans.abort_overdue(Instant::now());
         }
     }
--- a/crates/datapath/src/gate/request_gate.rs
+++ b/crates/datapath/src/gate/request_gate.rs
@@ -22,6 +22,7 @@
 use tarragon_policy::admission::AdmissionRequest;
 use tarragon_policy::admission::RunOutcome;
 use tarragon_policy::admission::WorkClass;
+use tarragon_policy::quarantine::Suspicion;
 use tarragon_policy::retry::RetryPolicy;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -243,6 +244,10 @@
         call: &GateCall,
     ) -> Result<AdmissionRequest, CallFailure> {
         self.ready_address(&call.service)?;
+        let suspicion = call.fingerprint.map(|fingerprint| self.crashes.suspicion(fingerprint));
+        if suspicion == Some(Suspicion::Quarantined) {
+            return Err(Reason::Quarantined.into());
+        }
         let deadline_left_us = crate::datapath::remaining_us(call.deadline);
         if deadline_left_us == 0 {
             return Err(Reason::Late.into());
@@ -285,7 +290,7 @@
         let started_at_ms = self.status.borrow().started_at_ms;
         let request_tag = self.interface.correlation_tag(call.request.headers());
         let (mut request, is_upload_done) = self.backend_request(call, span.id(), address);
-        let _run = self.crash_detector.start_run(fingerprint);
+        let _run = self.crash_detector.start_run(fingerprint)?;
         let mut is_started = false;
         for _ in 0..MAX_CONNECTION_ATTEMPTS {
             let mut lease = self.pool.checkout(address, deadline).await?;
--- a/crates/datapath/src/peer/managed_connection.rs
+++ b/crates/datapath/src/peer/managed_connection.rs
@@ -162,7 +162,7 @@
             let connection =
                 PeerConnection::connect(peer.address, peer.instance, shared.clock, &shared.tracker);
             let connection = connection.await?;
-            let advice = connection.heartbeat(&shared.auth).await?;
+            let advice = connection.heartbeat(&shared.auth, &shared.crashes).await?;
             shared.advise(peer, &advice);
             Ok(Arc::new(connection))
         };
@@ -238,7 +238,8 @@
         let settings = &shared.settings;
         let limit = Duration::from_millis(settings.heartbeat_timeout_ms);
         let sent_us = shared.clock.now_us();
-        let mut heartbeat = pin!(tokio::time::timeout(limit, connection.heartbeat(&shared.auth)));
+        let mut heartbeat =
+            pin!(tokio::time::timeout(limit, connection.heartbeat(&shared.auth, &shared.crashes)));
         tokio::select! {
             result = &mut heartbeat => return result,
             () = tokio::time::sleep(Duration::from_millis(settings.suspect_after_ms)) => {}
--- a/crates/datapath/src/peer/peer_connection.rs
+++ b/crates/datapath/src/peer/peer_connection.rs
@@ -28,6 +28,7 @@
 use crate::peer::MAX_RESPONSE_HEADER_BYTES;
 use crate::peer::SEND_BUFFER_BYTES;
 use crate::peer::STREAM_WINDOW_BYTES;
+use crate::quarantine::SharedLedger;
 use crate::transport::empty;
 use crate::transport::Body;
 use crate::transport::TrackedExecutor;
@@ -108,8 +109,14 @@
     ///
     /// # Errors
     /// Describes the failure if the peer does not respond or is another instance than expected.
-    pub(crate) async fn heartbeat(&self, auth: &PeerAuth) -> Result<AdmissionAdvice, String> {
-        let request = self.signed_request(Method::GET, HEARTBEAT_PATH, empty(), auth, &[]);
+    pub(crate) async fn heartbeat(
+        &self,
+        auth: &PeerAuth,
+        crashes: &SharedLedger,
+    ) -> Result<AdmissionAdvice, String> {
+        let mut request = self.request(Method::GET, HEARTBEAT_PATH, empty());
+        crashes.write_all(request.headers_mut());
+        auth.sign(&Method::GET, HEARTBEAT_PATH, request.headers_mut());
         let response = self.send_control(request).await?;
         let target = response.headers().get(headers::TARGET);
         let target = target.and_then(|value| value.to_str().ok()).and_then(|t| t.parse().ok());
@@ -117,28 +124,19 @@
             return Err("another instance of the node responded".into());
         }
         self.record_response();
+        crashes.read(response.headers());
         Ok(parse_advice(&response).unwrap_or_default())
     }
 
-    /// Builds a signed request for the peer node itself, not for its backend server.
-    pub(crate) fn signed_request(
-        &self,
-        method: Method,
-        path: &str,
-        body: Body,
-        auth: &PeerAuth,
-        extra: &[(http::HeaderName, String)],
-    ) -> Request<Body> {
+    /// Builds a request for the peer node itself, not for its backend server. The caller adds its
+    /// headers and signs it.
+    pub(crate) fn request(&self, method: Method, path: &str, body: Body) -> Request<Body> {
         let mut request = Request::new(body);
         let uri = format!("http://{}{path}", self.address);
         *request.uri_mut() = uri.parse().expect("an address and a fixed path form a URI");
+        *request.method_mut() = method;
         let map = request.headers_mut();
         map.insert(headers::TARGET, header_value(&self.instance.to_string()));
-        for (name, value) in extra {
-            map.insert(name.clone(), header_value(value));
-        }
-        auth.sign(&method, path, map);
-        *request.method_mut() = method;
         request
     }
 
--- a/crates/datapath/src/peer/peer_pool.rs
+++ b/crates/datapath/src/peer/peer_pool.rs
@@ -43,6 +43,7 @@
 use crate::peer::pending_response::SendResult;
 use crate::peer::PeerAuth;
 use crate::peer::FENCE_PATH;
+use crate::quarantine::SharedLedger;
 use crate::transport::empty;
 use crate::transport::strip_hop_headers;
 use crate::transport::strip_tarragon_headers;
@@ -77,6 +78,7 @@
     pub(crate) auth: PeerAuth,
     pub(crate) metrics: Arc<dyn Metrics>,
     pub(crate) route: Arc<Mutex<Box<dyn RoutePolicy>>>,
+    pub(crate) crashes: Arc<SharedLedger>,
     pub(crate) tracker: TaskTracker,
     pub(crate) stop: CancellationToken,
 }
@@ -148,6 +150,8 @@
     pub metrics: Arc<dyn Metrics>,
     /// Routing policy, which receives the states of the connections and what the gates admit.
     pub route: Arc<Mutex<Box<dyn RoutePolicy>>>,
+    /// Requests under which backend servers have crashed, which nodes tell each other.
+    pub(crate) crashes: Arc<SharedLedger>,
 }
 
 /// Connections to the other nodes.
@@ -160,9 +164,9 @@
 impl PeerPool {
     /// Creates a pool without peers.
     pub fn new(dependencies: PeerPoolDependencies) -> Self {
-        let PeerPoolDependencies { settings, clock, auth, metrics, route } = dependencies;
+        let PeerPoolDependencies { settings, clock, auth, metrics, route, crashes } = dependencies;
         let (tracker, stop) = (TaskTracker::new(), CancellationToken::new());
-        let shared = PeerShared { settings, clock, auth, metrics, route, tracker, stop };
+        let shared = PeerShared { settings, clock, auth, metrics, route, crashes, tracker, stop };
         Self {
             peers: RwLock::default(),
             notices: KnownNotices::default(),
@@ -252,6 +256,7 @@
             connection.closed.cancel();
             return Err(PeerCallError::ConnectionLost);
         }
+        self.shared.crashes.read(response.headers());
         let gate_response = read_gate_response(response, connection);
         if let Some(advice) = &gate_response.advice {
             self.shared.advise(&peer, advice);
@@ -310,7 +315,7 @@
                 return Some(connection);
             }
             let limit = deadline.min(Instant::now() + limit);
-            let heartbeat = connection.heartbeat(&shared.auth);
+            let heartbeat = connection.heartbeat(&shared.auth, &shared.crashes);
             match tokio::time::timeout_at(limit.into(), heartbeat).await {
                 Ok(Ok(_)) => return Some(connection),
                 _ if Instant::now() >= deadline => return None,
@@ -352,6 +357,7 @@
         if let Some(notice) = known_notice {
             map.insert(headers::NOTICE, header_value(&notice.to_string()));
         }
+        self.shared.crashes.write_news(map, fingerprint);
         self.shared.auth.sign(&parts.method, &path, map);
         let authority = peer.address.to_string();
         let uri = Uri::builder().scheme("http").authority(authority).path_and_query(path);
@@ -386,17 +392,15 @@
         let peer = self.find(target)?;
         let connection = peer.connection_for(class).acquire(&peer, &self.shared, limit).await?;
         let left_ms = crate::datapath::remaining_us(deadline) / 1_000;
-        let mut extra_headers: Vec<(HeaderName, String)> = vec![
-            (headers::REQUEST_ID, attempt.request_id.to_string()),
-            (headers::ATTEMPT, attempt.attempt.to_string()),
-            (headers::DEADLINE_MS, left_ms.to_string()),
-        ];
+        let mut request = connection.request(Method::POST, FENCE_PATH, empty());
+        let map = request.headers_mut();
+        map.insert(headers::REQUEST_ID, header_value(&attempt.request_id.to_string()));
+        map.insert(headers::ATTEMPT, attempt.attempt.into());
+        map.insert(headers::DEADLINE_MS, left_ms.into());
         if let Some(span) = attempt.span {
-            extra_headers.push((headers::SPAN, span.to_string()));
+            map.insert(headers::SPAN, header_value(&span.to_string()));
         }
-        let auth = &self.shared.auth;
-        let request =
-            connection.signed_request(Method::POST, FENCE_PATH, empty(), auth, &extra_headers);
+        self.shared.auth.sign(&Method::POST, FENCE_PATH, map);
         let sending = connection.send_control(request);
         match tokio::time::timeout_at(limit.into(), sending).await {
             Ok(Ok(response)) => Some(parse_outcome(response.headers()) == Some(Outcome::NotRun)),
--- a/crates/datapath/src/peer/peer_server.rs
+++ b/crates/datapath/src/peer/peer_server.rs
@@ -149,7 +149,7 @@
             return self.handle_call(request).await;
         }
         match (request.method(), request.uri().path()) {
-            (&Method::GET, HEARTBEAT_PATH) => self.heartbeat(),
+            (&Method::GET, HEARTBEAT_PATH) => self.heartbeat(request.headers()),
             (&Method::POST, FENCE_PATH) => self.fence(request.headers()),
             _ => {
                 CallFailure::with_status(Reason::BadRequest, StatusCode::NOT_FOUND).into_response()
@@ -157,11 +157,13 @@
         }
     }
 
-    fn heartbeat(&self) -> Response<Body> {
+    fn heartbeat(&self, request: &HeaderMap) -> Response<Body> {
+        self.gate.crashes.read(request);
         let mut response = Response::new(empty());
         let map = response.headers_mut();
         map.insert(headers::TARGET, header_value(&self.instance.to_string()));
         map.insert(headers::ADVICE, header_value(&self.gate.admission_queue.advice().to_string()));
+        self.gate.crashes.write_all(map);
         response
     }
 
@@ -193,6 +195,8 @@
         let map = request.headers();
         let echoed_headers = [headers::REQUEST_ID, headers::ATTEMPT]
             .map(|name| (name.clone(), map.get(&name).cloned()));
+        let fingerprint = parse_header(map, headers::FINGERPRINT);
+        self.gate.crashes.read(map);
         let gate_response = match self.read_call(request) {
             Ok(call) => self.gate.call(call).await,
             Err((failure, unused_tokens)) => {
@@ -221,6 +225,7 @@
         if let Some(run_time) = run_time {
             map.insert(headers::RUN_TIME, header_value(&run_time.to_string()));
         }
+        self.gate.crashes.write_news(map, fingerprint);
         if let Some(notice) = notice {
             map.insert(headers::NOTICE, header_value(&notice.to_string()));
         }
--- a/crates/model/src/call/outcome.rs
+++ b/crates/model/src/call/outcome.rs
@@ -97,6 +97,8 @@
     NotReady = "not-ready", NotRun, SERVICE_UNAVAILABLE;
     /// The caller repeats requests more often than allowed.
     Throttled = "throttled", NotRun, TOO_MANY_REQUESTS;
+    /// Backend servers crashed each time they ran the request, so it does not run for a while.
+    Quarantined = "quarantined", NotRun, SERVICE_UNAVAILABLE;
     /// The key belongs to another caller or another request.
     KeyMismatch = "key-mismatch", NotRun, CONFLICT;
     /// The owner of the key runs no request with it, for example because it is draining or its key
--- a/crates/policy/src/quarantine/crash_ledger.rs
+++ b/crates/policy/src/quarantine/crash_ledger.rs
@@ -136,10 +136,11 @@
         self.entries.get(&fingerprint).map(|entry| &entry.record)
     }
 
-    /// Records to tell other nodes, at most `max_records`: those with the most crashes first, then
-    /// the newest.
-    pub fn records(&self, max_records: usize) -> Vec<&CrashRecord> {
-        let mut entries: Vec<_> = self.entries.values().collect();
+    /// Records to tell other nodes that have changed since `since_us`, at most `max_records`: those
+    /// with the most crashes first, then the newest.
+    pub fn records(&self, max_records: usize, since_us: u64) -> Vec<&CrashRecord> {
+        let entries = self.entries.values();
+        let mut entries: Vec<_> = entries.filter(|entry| entry.changed_us >= since_us).collect();
         entries.sort_unstable_by_key(|entry| {
             let count = entry.record.crash_count();
             (Reverse(count), Reverse(entry.changed_us), entry.record.fingerprint)
--- a/crates/policy/src/quarantine/crash_ledger/tests.rs
+++ b/crates/policy/src/quarantine/crash_ledger/tests.rs
@@ -24,7 +24,7 @@
 
 /// Copies all records of one ledger to another, as nodes do.
 fn tell(from: &CrashLedger, to: &mut CrashLedger, now_us: u64) {
-    for record in from.records(usize::MAX) {
+    for record in from.records(usize::MAX, 0) {
         let record: CrashRecord = record.to_string().parse().expect("records can be parsed");
         to.merge(&record, now_us);
     }
