Keep a record of a single crash as long as one of several

A request that comes seldom was forgotten: records of one crash were kept for 60 s, so crashes five minutes apart never added up. crashes_that_are_minutes_apart_count_together failed before. The shorter time was meant for requests that only ran at the time; these are told apart by the later crashes and by answers, not by time.

--- a/crates/policy/src/quarantine/crash_ledger.rs
+++ b/crates/policy/src/quarantine/crash_ledger.rs
@@ -11,18 +11,14 @@
 pub struct QuarantineSettings {
     /// Maximum number of requests with a record.
     pub max_records: usize,
-    /// Time for which a request under which several servers have crashed is remembered after the
-    /// latest crash, in ms. After it the request is tried again, since the servers may have been
-    /// repaired.
+    /// Time for which a record is kept after the latest crash, in ms. After it the request is tried
+    /// again, since the servers may have been repaired.
     pub retention_ms: u64,
-    /// The same for a request under which one server has crashed, in ms. Most of these only ran at
-    /// the time.
-    pub single_crash_retention_ms: u64,
 }
 
 impl Default for QuarantineSettings {
     fn default() -> Self {
-        Self { max_records: 4_096, retention_ms: 900_000, single_crash_retention_ms: 60_000 }
+        Self { max_records: 4_096, retention_ms: 900_000 }
     }
 }
 
@@ -150,14 +146,8 @@
 
     /// Drops the records that are no longer kept.
     pub fn expire(&mut self, now_us: u64) {
-        let settings = self.settings;
-        self.entries.retain(|_, entry| {
-            let retention_ms = match entry.record.crashes.len() {
-                0 | 1 => settings.single_crash_retention_ms,
-                _ => settings.retention_ms,
-            };
-            now_us.saturating_sub(entry.changed_us) < retention_ms * 1_000
-        });
+        let retention_us = self.settings.retention_ms * 1_000;
+        self.entries.retain(|_, entry| now_us.saturating_sub(entry.changed_us) < retention_us);
     }
 }
 
--- a/crates/policy/src/quarantine/crash_ledger/tests.rs
+++ b/crates/policy/src/quarantine/crash_ledger/tests.rs
@@ -146,6 +146,18 @@
     check_property(11, 200, converges as fn(u64, Vec<(u8, u8)>) -> bool);
 }
 
+/// Guards against forgetting a request that comes seldom between two of the crashes under it.
+#[test]
+fn crashes_that_are_minutes_apart_count_together() {
+    let mut ledger = ledger();
+    for crash in 1..=3 {
+        let now_us = u64::from(crash) * 300 * SECOND;
+        ledger.expire(now_us);
+        ledger.record_crash(crash, &[CRASHING], now_us);
+    }
+    assert_eq!(ledger.suspicion(CRASHING), Suspicion::Quarantined);
+}
+
 #[test]
 fn a_request_is_tried_again_after_the_retention_time() {
     let mut ledger = ledger();
