Tell the age of crash records, so that all nodes drop them in the end

A record that two nodes know never expired: when one had dropped it, the other told it again, and it counted as new. A quarantine would have lasted for ever in any deployment of more than one node. nodes_that_tell_each_other_drop_a_record_in_the_end fails if records are taken over with the present time. The age is rounded up, so a record gets no younger by being told.

Heartbeats now tell only records of several crashes, 16 at most (about 800 bytes).

--- a/crates/datapath/src/peer/peer_connection.rs
+++ b/crates/datapath/src/peer/peer_connection.rs
@@ -115,7 +115,7 @@
         crashes: &SharedLedger,
     ) -> Result<AdmissionAdvice, String> {
         let mut request = self.request(Method::GET, HEARTBEAT_PATH, empty());
-        crashes.write_all(request.headers_mut());
+        crashes.write_suspects(request.headers_mut());
         auth.sign(&Method::GET, HEARTBEAT_PATH, request.headers_mut());
         let response = self.send_control(request).await?;
         let target = response.headers().get(headers::TARGET);
--- a/crates/datapath/src/peer/peer_server.rs
+++ b/crates/datapath/src/peer/peer_server.rs
@@ -163,7 +163,7 @@
         let map = response.headers_mut();
         map.insert(headers::TARGET, header_value(&self.instance.to_string()));
         map.insert(headers::ADVICE, header_value(&self.gate.admission_queue.advice().to_string()));
-        self.gate.crashes.write_all(map);
+        self.gate.crashes.write_suspects(map);
         response
     }
 
--- a/crates/datapath/src/quarantine/shared_ledger.rs
+++ b/crates/datapath/src/quarantine/shared_ledger.rs
@@ -5,21 +5,24 @@
 use http::HeaderValue;
 use tarragon_model::call::headers;
 use tarragon_policy::quarantine::CrashLedger;
-use tarragon_policy::quarantine::CrashRecord;
 use tarragon_policy::quarantine::QuarantineSettings;
 use tarragon_policy::quarantine::RequestFingerprint;
 use tarragon_policy::quarantine::Suspicion;
+use tarragon_policy::quarantine::ToldRecord;
 use tracing::debug;
 use tracing::info;
 
 use crate::datapath::Clock;
 
-/// Maximum number of records in one message, about 2 KB.
-const MAX_TOLD_RECORDS: usize = 64;
+/// Maximum number of records in a message other than a heartbeat, about 3 KB.
+const MAX_NEWS_RECORDS: usize = 64;
 
-/// Time for which a change is told with every message, in µs. Later it is told with heartbeats only,
+/// Maximum number of records in a heartbeat, about 800 bytes.
+const MAX_HEARTBEAT_RECORDS: usize = 16;
+
+/// Time for which a change is told with every message, in ms. Later it is told with heartbeats only,
 /// which each new connection begins with.
-const NEWS_US: u64 = 10_000_000;
+const NEWS_MS: u64 = 10_000;
 
 /// Ledger of crashes that the entry, the gate and the peer connections of a node share.
 pub(crate) struct SharedLedger {
@@ -45,19 +48,18 @@
     /// of the message.
     pub(crate) fn write_news(&self, map: &mut HeaderMap, about: Option<RequestFingerprint>) {
         let ledger = self.lock();
-        if ledger.is_empty() {
-            return;
+        if !ledger.is_empty() {
+            let now_us = self.clock.now_us();
+            write_records(map, &ledger.news(about, NEWS_MS, MAX_NEWS_RECORDS, now_us));
         }
-        let since_us = self.clock.now_us().saturating_sub(NEWS_US);
-        let known = about.and_then(|fingerprint| ledger.record(fingerprint));
-        let news = ledger.records(MAX_TOLD_RECORDS, since_us);
-        let news = news.into_iter().filter(|record| Some(record.fingerprint) != about);
-        write_records(map, known.into_iter().chain(news));
     }
 
-    /// Adds all that is known to the headers of a message, for nodes that have started since.
-    pub(crate) fn write_all(&self, map: &mut HeaderMap) {
-        write_records(map, self.lock().records(MAX_TOLD_RECORDS, 0).into_iter());
+    /// Adds to the headers of a heartbeat what nodes that have started since must know.
+    pub(crate) fn write_suspects(&self, map: &mut HeaderMap) {
+        let ledger = self.lock();
+        if !ledger.is_empty() {
+            write_records(map, &ledger.suspects(MAX_HEARTBEAT_RECORDS, self.clock.now_us()));
+        }
     }
 
     /// Takes over what the headers of a message from another node tell.
@@ -69,7 +71,7 @@
         let mut ledger = self.lock();
         for record in text.split(',') {
             match record.parse() {
-                Ok(record) => ledger.merge(&record, now_us),
+                Ok(told) => ledger.merge_told(&told, now_us),
                 Err(()) => debug!("gate: ignoring a malformed crash record: {record}"),
             }
         }
@@ -109,10 +111,10 @@
     }
 }
 
-fn write_records<'a>(map: &mut HeaderMap, records: impl Iterator<Item = &'a CrashRecord>) {
-    let records: Vec<_> = records.map(ToString::to_string).collect();
+fn write_records(map: &mut HeaderMap, records: &[ToldRecord]) {
     if !records.is_empty() {
-        let value = HeaderValue::from_str(&records.join(","));
+        let texts: Vec<_> = records.iter().map(ToString::to_string).collect();
+        let value = HeaderValue::from_str(&texts.join(","));
         map.insert(headers::CRASHES, value.expect("records are visible ASCII"));
     }
 }
--- a/crates/policy/src/quarantine/crash_ledger.rs
+++ b/crates/policy/src/quarantine/crash_ledger.rs
@@ -4,6 +4,7 @@
 
 use crate::quarantine::CrashRecord;
 use crate::quarantine::RequestFingerprint;
+use crate::quarantine::ToldRecord;
 use crate::quarantine::MAX_CRASHES;
 
 /// Settings of a [`CrashLedger`].
@@ -95,7 +96,7 @@
         for fingerprint in &suspects {
             let crashes = BTreeSet::from([crash]);
             let record = CrashRecord { fingerprint: *fingerprint, crashes, is_answered: false };
-            self.merge(&record, now_us);
+            self.merge(&record, now_us, now_us);
         }
         suspects
     }
@@ -110,11 +111,16 @@
         }
     }
 
-    /// Adds what another node knows.
-    pub fn merge(&mut self, record: &CrashRecord, now_us: u64) {
+    /// Adds what another node tells.
+    pub fn merge_told(&mut self, told: &ToldRecord, now_us: u64) {
+        let changed_us = now_us.saturating_sub(told.age_ms.saturating_mul(1_000));
+        self.merge(&told.record, changed_us, now_us);
+    }
+
+    fn merge(&mut self, record: &CrashRecord, changed_us: u64, now_us: u64) {
         if let Some(entry) = self.entries.get_mut(&record.fingerprint) {
             if entry.record.merge(record) {
-                entry.changed_us = now_us;
+                entry.changed_us = entry.changed_us.max(changed_us);
             }
             return;
         }
@@ -122,7 +128,7 @@
             self.expire(now_us);
         }
         if self.entries.len() < self.settings.max_records {
-            let entry = LedgerEntry { record: record.clone(), changed_us: now_us };
+            let entry = LedgerEntry { record: record.clone(), changed_us };
             self.entries.insert(record.fingerprint, entry);
         }
     }
@@ -132,16 +138,46 @@
         self.entries.get(&fingerprint).map(|entry| &entry.record)
     }
 
-    /// Records to tell other nodes that have changed since `since_us`, at most `max_records`: those
-    /// with the most crashes first, then the newest.
-    pub fn records(&self, max_records: usize, since_us: u64) -> Vec<&CrashRecord> {
-        let entries = self.entries.values();
-        let mut entries: Vec<_> = entries.filter(|entry| entry.changed_us >= since_us).collect();
+    /// Records to tell other nodes with a message about a request: what is known of it and what has
+    /// changed within `max_age_ms`, at most `max_records`.
+    pub fn news(
+        &self,
+        about: Option<RequestFingerprint>,
+        max_age_ms: u64,
+        max_records: usize,
+        now_us: u64,
+    ) -> Vec<ToldRecord> {
+        let since_us = now_us.saturating_sub(max_age_ms * 1_000);
+        self.select(max_records, now_us, |entry| {
+            entry.changed_us >= since_us || Some(entry.record.fingerprint) == about
+        })
+    }
+
+    /// Records to tell nodes that have started since: those of requests under which several servers
+    /// have crashed, at most `max_records`.
+    pub fn suspects(&self, max_records: usize, now_us: u64) -> Vec<ToldRecord> {
+        self.select(max_records, now_us, |entry| entry.record.crash_count() > 1)
+    }
+
+    /// Selects records, those with the most crashes first and then the newest.
+    fn select(
+        &self,
+        max_records: usize,
+        now_us: u64,
+        is_selected: impl Fn(&LedgerEntry) -> bool,
+    ) -> Vec<ToldRecord> {
+        let mut entries: Vec<_> =
+            self.entries.values().filter(|entry| is_selected(entry)).collect();
         entries.sort_unstable_by_key(|entry| {
             let count = entry.record.crash_count();
             (Reverse(count), Reverse(entry.changed_us), entry.record.fingerprint)
         });
-        entries.into_iter().take(max_records).map(|entry| &entry.record).collect()
+        let told = entries.into_iter().take(max_records).map(|entry| ToldRecord {
+            // Rounded up, so that a record does not become younger each time it is told.
+            age_ms: now_us.saturating_sub(entry.changed_us).div_ceil(1_000),
+            record: entry.record.clone(),
+        });
+        told.collect()
     }
 
     /// Drops the records that are no longer kept.
--- a/crates/policy/src/quarantine/crash_ledger/tests.rs
+++ b/crates/policy/src/quarantine/crash_ledger/tests.rs
@@ -9,8 +9,8 @@
 use super::CrashLedger;
 use super::QuarantineSettings;
 use super::Suspicion;
-use crate::quarantine::CrashRecord;
 use crate::quarantine::RequestFingerprint;
+use crate::quarantine::ToldRecord;
 use crate::quarantine::MAX_CRASHES;
 
 const SECOND: u64 = 1_000_000;
@@ -24,9 +24,9 @@
 
 /// Copies all records of one ledger to another, as nodes do.
 fn tell(from: &CrashLedger, to: &mut CrashLedger, now_us: u64) {
-    for record in from.records(usize::MAX, 0) {
-        let record: CrashRecord = record.to_string().parse().expect("records can be parsed");
-        to.merge(&record, now_us);
+    for told in from.news(None, u64::MAX / 1_000, usize::MAX, now_us) {
+        let told: ToldRecord = told.to_string().parse().expect("records can be parsed");
+        to.merge_told(&told, now_us);
     }
 }
 
@@ -52,8 +52,8 @@
         for from in 0..gates.len() {
             for to in 0..gates.len() {
                 if from != to {
-                    let (source, target) = (ledger_copy(&gates[from]), &mut gates[to]);
-                    tell(&source, target, now_us);
+                    let source = ledger_copy_at(&gates[from], now_us);
+                    tell(&source, &mut gates[to], now_us);
                 }
             }
         }
@@ -65,8 +65,12 @@
 }
 
 fn ledger_copy(from: &CrashLedger) -> CrashLedger {
+    ledger_copy_at(from, 0)
+}
+
+fn ledger_copy_at(from: &CrashLedger, now_us: u64) -> CrashLedger {
     let mut copy = ledger();
-    tell(from, &mut copy, 0);
+    tell(from, &mut copy, now_us);
     copy
 }
 
@@ -146,6 +150,24 @@
     check_property(11, 200, converges as fn(u64, Vec<(u8, u8)>) -> bool);
 }
 
+/// Guards against records that two nodes tell each other again whenever one of them has dropped it.
+#[test]
+fn nodes_that_tell_each_other_drop_a_record_in_the_end() {
+    let mut nodes = [ledger(), ledger()];
+    for crash in 1..=3 {
+        nodes[0].record_crash(crash, &[CRASHING], 0);
+    }
+    let retention_us = QuarantineSettings::default().retention_ms * 1_000;
+    for now_us in (SECOND..3 * retention_us).step_by(SECOND as usize / 4) {
+        for (from, to) in [(0, 1), (1, 0)] {
+            nodes[from].expire(now_us);
+            let source = ledger_copy_at(&nodes[from], now_us);
+            tell(&source, &mut nodes[to], now_us);
+        }
+    }
+    assert!(nodes.iter().all(CrashLedger::is_empty));
+}
+
 /// Guards against forgetting a request that comes seldom between two of the crashes under it.
 #[test]
 fn crashes_that_are_minutes_apart_count_together() {
--- a/crates/policy/src/quarantine/crash_record.rs
+++ b/crates/policy/src/quarantine/crash_record.rs
@@ -75,3 +75,27 @@
         Ok(record)
     }
 }
+
+/// A record as one node tells it to another.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ToldRecord {
+    /// Time since the record changed, in ms. With it all nodes drop the record at about the same time.
+    pub age_ms: u64,
+    /// The record.
+    pub record: CrashRecord,
+}
+
+impl fmt::Display for ToldRecord {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.age_ms, self.record)
+    }
+}
+
+impl FromStr for ToldRecord {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (age_ms, record) = text.split_once('-').ok_or(())?;
+        Ok(Self { age_ms: age_ms.parse().map_err(|_| ())?, record: record.parse()? })
+    }
+}
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -13,5 +13,6 @@
 pub use crash_ledger::QuarantineSettings;
 pub use crash_ledger::Suspicion;
 pub use crash_record::CrashRecord;
+pub use crash_record::ToldRecord;
 pub use crash_record::MAX_CRASHES;
 pub use fingerprint::RequestFingerprint;
