Tell crash records of several crashes once on each new connection

With every heartbeat they would have cost 1.4 KB/s for each connection in use, beyond the traffic budget of a node (computed). Nodes that were there heard them as news; only nodes that have started since, and those behind a new connection, need them.

--- a/crates/datapath/src/peer/peer_connection.rs
+++ b/crates/datapath/src/peer/peer_connection.rs
@@ -115,7 +115,12 @@
         crashes: &SharedLedger,
     ) -> Result<AdmissionAdvice, String> {
         let mut request = self.request(Method::GET, HEARTBEAT_PATH, empty());
-        crashes.write_suspects(request.headers_mut());
+        let is_first = self.last_response_us() == 0;
+        if is_first {
+            crashes.write_suspects(request.headers_mut());
+        } else {
+            crashes.write_news(request.headers_mut(), None);
+        }
         auth.sign(&Method::GET, HEARTBEAT_PATH, request.headers_mut());
         let response = self.send_control(request).await?;
         let target = response.headers().get(headers::TARGET);
--- a/crates/datapath/src/peer/peer_server.rs
+++ b/crates/datapath/src/peer/peer_server.rs
@@ -163,7 +163,11 @@
         let map = response.headers_mut();
         map.insert(headers::TARGET, header_value(&self.instance.to_string()));
         map.insert(headers::ADVICE, header_value(&self.gate.admission_queue.advice().to_string()));
-        self.gate.crashes.write_suspects(map);
+        if request.contains_key(headers::CRASHES) {
+            self.gate.crashes.write_suspects(map);
+        } else {
+            self.gate.crashes.write_news(map, None);
+        }
         response
     }
 
--- a/crates/datapath/src/quarantine/shared_ledger.rs
+++ b/crates/datapath/src/quarantine/shared_ledger.rs
@@ -14,14 +14,13 @@
 
 use crate::datapath::Clock;
 
-/// Maximum number of records in a message other than a heartbeat, about 3 KB.
+/// Maximum number of new records in a message, about 3 KB.
 const MAX_NEWS_RECORDS: usize = 64;
 
-/// Maximum number of records in a heartbeat, about 800 bytes.
-const MAX_HEARTBEAT_RECORDS: usize = 16;
+/// Maximum number of records in the first heartbeat on a connection, about 3 KB.
+const MAX_SUSPECT_RECORDS: usize = 64;
 
-/// Time for which a change is told with every message, in ms. Later it is told with heartbeats only,
-/// which each new connection begins with.
+/// Time for which a change is told with every message, in ms. Later it is told on new connections only.
 const NEWS_MS: u64 = 10_000;
 
 /// Ledger of crashes that the entry, the gate and the peer connections of a node share.
@@ -54,12 +53,12 @@
         }
     }
 
-    /// Adds to the headers of a heartbeat what nodes that have started since must know.
+    /// Adds to the headers of the first heartbeat on a connection, or of its response, what a node that
+    /// has just started must know. The header is present even if that is nothing, which asks the peer
+    /// for what it knows.
     pub(crate) fn write_suspects(&self, map: &mut HeaderMap) {
-        let ledger = self.lock();
-        if !ledger.is_empty() {
-            write_records(map, &ledger.suspects(MAX_HEARTBEAT_RECORDS, self.clock.now_us()));
-        }
+        map.insert(headers::CRASHES, HeaderValue::from_static(""));
+        write_records(map, &self.lock().suspects(MAX_SUSPECT_RECORDS, self.clock.now_us()));
     }
 
     /// Takes over what the headers of a message from another node tell.
@@ -69,7 +68,7 @@
         };
         let now_us = self.clock.now_us();
         let mut ledger = self.lock();
-        for record in text.split(',') {
+        for record in text.split_terminator(',') {
             match record.parse() {
                 Ok(told) => ledger.merge_told(&told, now_us),
                 Err(()) => debug!("gate: ignoring a malformed crash record: {record}"),
--- a/crates/policy/src/quarantine/crash_ledger/tests.rs
+++ b/crates/policy/src/quarantine/crash_ledger/tests.rs
@@ -150,6 +150,24 @@
     check_property(11, 200, converges as fn(u64, Vec<(u8, u8)>) -> bool);
 }
 
+#[test]
+fn old_records_of_several_crashes_are_told_to_nodes_that_have_started_since() {
+    const MAX_AGE_MS: u64 = 10_000;
+    let mut ledger = ledger();
+    let bystander = RequestFingerprint(1);
+    ledger.record_crash(1, &[CRASHING, bystander], 0);
+    ledger.record_crash(2, &[CRASHING], 0);
+    let now_us = MAX_AGE_MS * 1_000 + SECOND;
+    assert!(ledger.news(None, MAX_AGE_MS, usize::MAX, now_us).is_empty());
+    assert_eq!(ledger.news(Some(CRASHING), MAX_AGE_MS, usize::MAX, now_us).len(), 1);
+    let mut started = self::ledger();
+    for told in ledger.suspects(usize::MAX, now_us) {
+        started.merge_told(&told, now_us);
+    }
+    assert_eq!(started.suspicion(CRASHING), Suspicion::High);
+    assert!(started.record(bystander).is_none());
+}
+
 /// Guards against records that two nodes tell each other again whenever one of them has dropped it.
 #[test]
 fn nodes_that_tell_each_other_drop_a_record_in_the_end() {
