Lift the limit of a server with the first response of its next start

A gate that got the first response of a new start before it heard of the start from the announcements kept the old limit: the notice did not look changed, and the status no longer looked like another start. Found by reading; the_first_response_of_a_later_start_replaces_the_notice failed before. Tests for the order of responses, for what other nodes know and for leaving servers come with it.

--- a/crates/datapath/src/gate/server_notices.rs
+++ b/crates/datapath/src/gate/server_notices.rs
@@ -53,7 +53,7 @@
         if started_at_ms < state.started_at_ms {
             return None;
         }
-        state.forget_earlier_start(started_at_ms);
+        let is_other_start = state.forget_other_start(started_at_ms);
         let previous = state.notice.unwrap_or_default();
         // A response without a limit may have been overtaken by one that names it.
         let is_overtaken = state.limited_at.is_some_and(|limited_at| sent_at < limited_at);
@@ -65,7 +65,7 @@
         notice.is_leaving |= previous.is_leaving;
         state.notice = Some(notice);
         drop(state);
-        (notice != previous).then(|| {
+        (notice != previous || is_other_start).then(|| {
             self.log_change(started_at_ms, notice, "gate: the backend server changed its notice");
             notice
         })
@@ -83,13 +83,13 @@
             return None;
         }
         let mut state = self.lock();
-        state.forget_earlier_start(started_at_ms);
+        let is_other_start = state.forget_other_start(started_at_ms);
         let previous = state.notice.unwrap_or_default();
         let mut notice = state.notice.unwrap_or(known.notice);
         notice.is_leaving |= known.notice.is_leaving;
         state.notice = Some(notice);
         drop(state);
-        (notice != previous).then(|| {
+        (notice != previous || is_other_start).then(|| {
             self.log_change(started_at_ms, notice, "gate: another node knows the notice");
             notice
         })
@@ -116,15 +116,11 @@
     /// Returns whether the notice was forgotten.
     pub(crate) fn follow_status(&self, status: &BackendStatus) -> bool {
         let mut state = self.lock();
-        let is_other_start = match status.address {
-            Some(_) => state.started_at_ms != status.started_at_ms,
-            None => state.started_at_ms.is_none(),
-        };
-        let is_forgotten = is_other_start && state.notice.is_some();
-        if is_other_start {
-            *state = NoticeState { started_at_ms: status.started_at_ms, ..NoticeState::default() };
+        match status.address {
+            Some(_) => state.forget_other_start(status.started_at_ms),
+            None if state.started_at_ms.is_none() => std::mem::take(&mut *state).notice.is_some(),
+            None => false,
         }
-        is_forgotten
     }
 
     fn log_change(&self, started_at_ms: Option<u64>, notice: ServerNotice, message: &str) {
@@ -140,10 +136,13 @@
 }
 
 impl NoticeState {
-    fn forget_earlier_start(&mut self, started_at_ms: Option<u64>) {
-        if self.started_at_ms != started_at_ms {
-            *self = Self { started_at_ms, ..Self::default() };
+    /// Forgets the notice of another start. Returns whether there was one.
+    fn forget_other_start(&mut self, started_at_ms: Option<u64>) -> bool {
+        if self.started_at_ms == started_at_ms {
+            return false;
         }
+        let forgotten = std::mem::replace(self, Self { started_at_ms, ..Self::default() });
+        forgotten.notice.is_some()
     }
 }
 
@@ -175,3 +174,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
