Make room for new crash records, and bound the log lines about them

A full ledger recorded nothing new: with 4,096 requests that ran at some crash within 15 minutes, as when servers go up and down in a large fleet, a crashing request was not found any more. The oldest record of a request that is hardly suspected makes room now; a_full_ledger_still_finds_the_crashing_request failed before. Log lines about crashes came one for each running request without a bound; they are limited to 10 a second. Both found by reading.

--- a/crates/datapath/src/quarantine/shared_ledger.rs
+++ b/crates/datapath/src/quarantine/shared_ledger.rs
@@ -13,6 +13,7 @@
 use tracing::info;
 
 use crate::datapath::Clock;
+use crate::transport::LogRateLimiter;
 
 /// Maximum number of new records in a message, about 3 KB.
 const MAX_NEWS_RECORDS: usize = 64;
@@ -23,15 +24,20 @@
 /// Time for which a change is told with every message, in ms. Later it is told on new connections only.
 const NEWS_MS: u64 = 10_000;
 
+/// Maximum average rate of log lines about requests that ran at a crash, in lines per second.
+const MAX_CRASH_LOG_LINES_PER_S: u32 = 10;
+
 /// Ledger of crashes that the entry, the gate and the peer connections of a node share.
 pub(crate) struct SharedLedger {
     ledger: Mutex<CrashLedger>,
     clock: Clock,
+    log: LogRateLimiter,
 }
 
 impl SharedLedger {
     pub(crate) fn new(clock: Clock) -> Self {
-        Self { ledger: Mutex::new(CrashLedger::new(QuarantineSettings::default())), clock }
+        let ledger = Mutex::new(CrashLedger::new(QuarantineSettings::default()));
+        Self { ledger, clock, log: LogRateLimiter::new(clock, MAX_CRASH_LOG_LINES_PER_S) }
     }
 
     fn lock(&self) -> MutexGuard<'_, CrashLedger> {
@@ -89,6 +95,7 @@
         let crash = rand::random();
         let suspects = self.lock().record_crash(crash, running, self.clock.now_us());
         for suspect in &suspects {
+            let Some(unlogged) = self.log.admit() else { continue };
             let count = self.lock().record(*suspect).map_or(0, |record| record.crash_count());
             info!(
                 crash,
@@ -96,6 +103,7 @@
                 crash_count = count,
                 running = running.len(),
                 suspects = suspects.len(),
+                unlogged,
                 "gate: the backend server crashed while it ran the request"
             );
         }
--- a/crates/policy/src/quarantine/crash_ledger.rs
+++ b/crates/policy/src/quarantine/crash_ledger.rs
@@ -126,6 +126,7 @@
         }
         if self.entries.len() >= self.settings.max_records {
             self.expire(now_us);
+            self.evict_bystander();
         }
         if self.entries.len() < self.settings.max_records {
             let entry = LedgerEntry { record: record.clone(), changed_us };
@@ -180,6 +181,19 @@
         told.collect()
     }
 
+    /// Drops the oldest record of a request that is hardly suspected, if the ledger is full.
+    fn evict_bystander(&mut self) {
+        if self.entries.len() < self.settings.max_records {
+            return;
+        }
+        let bystanders = self.entries.iter().filter(|(_, entry)| entry.record.crash_count() <= 1);
+        let oldest =
+            bystanders.min_by_key(|(fingerprint, entry)| (entry.changed_us, **fingerprint));
+        if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
+            self.entries.remove(&fingerprint);
+        }
+    }
+
     /// Drops the records that are no longer kept.
     pub fn expire(&mut self, now_us: u64) {
         let retention_us = self.settings.retention_ms * 1_000;
--- a/crates/policy/src/quarantine/crash_ledger/tests.rs
+++ b/crates/policy/src/quarantine/crash_ledger/tests.rs
@@ -186,6 +186,23 @@
     assert!(nodes.iter().all(CrashLedger::is_empty));
 }
 
+/// Guards against a ledger that is full of requests that ran at one crash each.
+#[test]
+fn a_full_ledger_still_finds_the_crashing_request() {
+    let settings = QuarantineSettings { max_records: 30, ..QuarantineSettings::default() };
+    let mut ledger = CrashLedger::new(settings);
+    for crash in 1..=10 {
+        let running: Vec<_> =
+            (0..20).map(|other| RequestFingerprint(u64::from(crash) * 100 + other)).collect();
+        ledger.record_crash(crash, &running, u64::from(crash) * SECOND);
+    }
+    for crash in 11..=13 {
+        ledger.record_crash(crash, &[CRASHING], u64::from(crash) * SECOND);
+    }
+    assert_eq!(ledger.suspicion(CRASHING), Suspicion::Quarantined);
+    assert!(ledger.suspects(usize::MAX, 14 * SECOND).len() <= 30);
+}
+
 /// Guards against forgetting a request that comes seldom between two of the crashes under it.
 #[test]
 fn crashes_that_are_minutes_apart_count_together() {
