--- a/crates/datapath/src/gate/gate_call.rs
+++ b/crates/datapath/src/gate/gate_call.rs
@@ -48,7 +48,7 @@
     pub advice: Option<AdmissionAdvice>,
     /// Mean run time of this kind of request at the gate, if it is known.
     pub run_time: Option<MeanRunTime>,
-    /// Notice of the backend server, unless the server is well and the call carried no notice.
+    /// Notice of the backend server, unless the server is healthy and the call carried no notice.
     pub notice: Option<ReportedNotice>,
 }
 
--- a/crates/datapath/src/gate/server_notices.rs
+++ b/crates/datapath/src/gate/server_notices.rs
@@ -72,8 +72,8 @@
     }
 
     /// Takes over the notice that another node knows of the backend server that started at
-    /// `started_at_ms`. A limit counts only until the first response, but a server that is leaving
-    /// does not change its mind. Returns the notice in force if it has changed.
+    /// `started_at_ms`. A limit counts only until the first response; that a server is leaving is
+    /// final. Returns the notice in force if it has changed.
     pub(crate) fn adopt(
         &self,
         started_at_ms: Option<u64>,
@@ -102,7 +102,7 @@
         is_same_start && state.notice.is_some_and(|notice| notice.is_leaving)
     }
 
-    /// Notice to report to calling nodes. That of a server that is well is reported only if
+    /// Notice to report to calling nodes. That of a healthy server is reported only if
     /// `is_correction` is set, because the calling node knows another one.
     pub(crate) fn report(&self, is_correction: bool) -> Option<ReportedNotice> {
         let state = self.lock();
--- a/crates/datapath/src/gate/server_notices/tests.rs
+++ b/crates/datapath/src/gate/server_notices/tests.rs
@@ -54,7 +54,7 @@
 }
 
 #[test]
-fn a_server_that_is_leaving_does_not_change_its_mind() {
+fn that_a_server_is_leaving_is_final_for_its_start() {
     let notices = notices();
     let now = Instant::now();
     notices.record(FIRST_START, WELL, now);
--- a/crates/policy/src/admission/rate_limit.rs
+++ b/crates/policy/src/admission/rate_limit.rs
@@ -1,16 +1,15 @@
-/// Time of unused requests that may be made up for at once, in s. A server that names a limit is in
-/// need, so bursts stay well below what it takes in a second.
+/// Requests that may start at once after a pause, in s of the limit. A server that names a limit is
+/// overloaded, so bursts stay well below what it takes in a second.
 const BURST_S: f64 = 0.25;
 
-/// Rate at which requests are sent to a server that names a lower limit, in requests per second.
-/// Only a response tells when the limit ends.
+/// Rate at which requests start if the server names a lower limit, in requests per second. Only a
+/// response shows that the limit has been lifted.
 const MIN_RATE_PER_S: f64 = 0.5;
 
 /// Limits how many requests start per second, for as long as the backend server names a limit.
 ///
-/// A token bucket: each start takes a token, and tokens accrue at the rate of the limit. The limit is
-/// that of the server and not of a rank, so the order of the waiting requests decides who gets a
-/// token.
+/// A token bucket: each start takes a token, and tokens accrue at the rate of the limit. The policy
+/// that uses it decides which waiting request takes the next token.
 #[derive(Debug, Default)]
 pub(super) struct RateLimit {
     bucket: Option<TokenBucket>,
