Clear a request of crashes by an answer only if it is no error

A server that fails a part of its requests at once answers a crashing request now and then with an error, without running it. Requests that merely ran beside the cause and get an error stay suspected a little longer; their next good answer clears them.

--- a/crates/datapath/src/gate/request_gate.rs
+++ b/crates/datapath/src/gate/request_gate.rs
@@ -329,7 +329,9 @@
                         slot.set_outcome(RunOutcome::Failed);
                         return Err(Reason::BadAnswer.into());
                     }
-                    if let Some(fingerprint) = fingerprint {
+                    // A failing server may send an error without having run the request.
+                    let is_error = response.status().is_server_error();
+                    if let Some(fingerprint) = fingerprint.filter(|_| !is_error) {
                         self.crashes.record_answer(fingerprint);
                     }
                     let execution = Execution {
--- a/crates/datapath/tests/datapath/crashes.rs
+++ b/crates/datapath/tests/datapath/crashes.rs
@@ -53,9 +53,9 @@
 
     /// Sends the crashing request through one entry after the other, until it has crashed as many
     /// servers, and waits until the nodes know of it.
-    async fn crash_servers(&self) {
+    async fn crash_servers(&self, path: &str) {
         for entry in self.entries.iter().cycle().take(10 * CRASHES) {
-            send(entry, "/one/crash").await;
+            send(entry, path).await;
             tokio::time::sleep(RESTART_TIME).await;
             if self.crashes() >= CRASHES {
                 break;
@@ -67,10 +67,10 @@
 }
 
 /// Sends the crashing request several times through each of the entries.
-async fn send_again(fleet: &Fleet, entries: &[Arc<Node>]) -> usize {
+async fn send_again(fleet: &Fleet, entries: &[Arc<Node>], path: &str) -> usize {
     let before = fleet.crashes();
     for entry in entries.iter().cycle().take(4 * entries.len()) {
-        send(entry, "/one/crash").await;
+        send(entry, path).await;
         tokio::time::sleep(RESTART_TIME).await;
     }
     fleet.crashes() - before
@@ -79,8 +79,8 @@
 #[tokio::test]
 async fn a_request_that_crashed_three_servers_reaches_no_more_of_them() {
     let fleet = Fleet::start().await;
-    fleet.crash_servers().await;
-    let later = send_again(&fleet, &fleet.entries).await;
+    fleet.crash_servers("/one/crash").await;
+    let later = send_again(&fleet, &fleet.entries, "/one/crash").await;
     assert!(later <= MAX_LATER_SENDINGS, "{later} more servers crashed");
     // Other requests are served.
     assert_eq!(send(&fleet.entries[0], "/one/7").await.status.as_u16(), 200);
@@ -89,7 +89,7 @@
 #[tokio::test]
 async fn a_restarted_node_knows_which_requests_crashed_servers() {
     let mut fleet = Fleet::start().await;
-    fleet.crash_servers().await;
+    fleet.crash_servers("/one/crash").await;
     for index in 0..fleet.servers.len() {
         let server = fleet.servers.remove(0);
         fleet.cluster.remove(server.instance);
@@ -104,7 +104,16 @@
     }
     let restarted = Arc::new(fleet.cluster.start_node("entry-4", None).await);
     wait_until_routed(&restarted).await;
-    let later = send_again(&fleet, &[restarted]).await;
+    let later = send_again(&fleet, &[restarted], "/one/crash").await;
+    assert!(later <= MAX_LATER_SENDINGS, "{later} more servers crashed");
+}
+
+/// Guards against clearing a request because a failing server answered it without running it.
+#[tokio::test]
+async fn an_error_response_does_not_clear_a_crashing_request() {
+    let fleet = Fleet::start().await;
+    fleet.crash_servers("/one/flaky-crash").await;
+    let later = send_again(&fleet, &fleet.entries, "/one/flaky-crash").await;
     assert!(later <= MAX_LATER_SENDINGS, "{later} more servers crashed");
 }
 
--- a/crates/datapath/tests/datapath/support/crashing_backend.rs
+++ b/crates/datapath/tests/datapath/support/crashing_backend.rs
@@ -7,6 +7,7 @@
 
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -23,8 +24,12 @@
 /// Time that the server runs a request before it answers or crashes.
 const RUN_TIME: Duration = Duration::from_millis(20);
 
+/// Number of requests with `flaky` in their path, at all servers of the process.
+static FLAKY_REQUESTS: AtomicUsize = AtomicUsize::new(0);
+
 /// Backend server that crashes while it runs a request whose path contains `crash`, and starts again
-/// at the same address. It answers other requests with their request id.
+/// at the same address. It answers other requests with their request id. If the path contains `flaky`
+/// as well, it answers every second of these requests with an error before it runs it.
 pub struct CrashingBackend {
     pub address: SocketAddr,
     crashes: Arc<AtomicUsize>,
@@ -77,11 +82,17 @@
     crash: Arc<Notify>,
 ) -> Result<Response<Body>, Infallible> {
     tokio::time::sleep(RUN_TIME).await;
-    if request.uri().path().contains("crash") {
+    let path = request.uri().path();
+    let is_flaky = path.contains("flaky");
+    let is_error = is_flaky && FLAKY_REQUESTS.fetch_add(1, Ordering::SeqCst).is_multiple_of(2);
+    if path.contains("crash") && !is_error {
         crash.notify_one();
         std::future::pending::<()>().await;
     }
     let mut response = Response::new(full("weighed"));
+    if is_error {
+        *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    }
     if let Some(id) = request.headers().get("x-id") {
         response.headers_mut().insert("x-id", id.clone());
     }
