--- a/crates/datapath/src/entry/caller_handler.rs
+++ b/crates/datapath/src/entry/caller_handler.rs
@@ -21,9 +21,9 @@
 
 use crate::datapath::ServingState;
 use crate::entry::entry_span::EntrySpan;
-use crate::entry::forwarder::owner_not_reached;
 use crate::entry::key_issue;
 use crate::entry::outgoing_call::OutgoingCall;
+use crate::entry::retry_rules::owner_not_reached;
 use crate::entry::Forwarder;
 use crate::interface::CallerInterface;
 use crate::interface::InboundRequest;
--- a/crates/datapath/src/entry/forwarder.rs
+++ b/crates/datapath/src/entry/forwarder.rs
@@ -31,6 +31,8 @@
 use crate::entry::entry_body::EntryBody;
 use crate::entry::entry_body::RouteGuard;
 use crate::entry::outgoing_call::OutgoingCall;
+use crate::entry::retry_rules::may_retry;
+use crate::entry::retry_rules::owner_not_reached;
 use crate::gate::Gate;
 use crate::gate::GateResponse;
 use crate::peer::PeerCallError;
@@ -435,26 +437,3 @@
     /// Whether the gate reported the failure; otherwise this node or the connection caused it.
     is_from_gate: bool,
 }
-
-/// Converts a failure before the owner of the idempotency key was reached: instead of "not run",
-/// it reports that the owner is unreachable.
-pub(crate) fn owner_not_reached(failure: CallFailure) -> CallFailure {
-    if failure.is_not_run() {
-        CallFailure { retry_after_ms: failure.retry_after_ms, ..Reason::OwnerUnreachable.into() }
-    } else {
-        failure
-    }
-}
-
-/// Whether another attempt is safe and may succeed.
-fn may_retry(call: &OutgoingCall, failure: CallFailure) -> bool {
-    let may_succeed = match failure.reason {
-        Reason::NoServer | Reason::Shed | Reason::Draining | Reason::Rejected | Reason::Fenced => {
-            true
-        }
-        // The request may have run, so only idempotent requests are sent again.
-        Reason::ConnectionLost | Reason::BadAnswer | Reason::WrongInstance => call.is_idempotent,
-        _ => false,
-    };
-    may_succeed && call.body.is_replayable()
-}
--- a/crates/datapath/src/entry/mod.rs
+++ b/crates/datapath/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod forwarder;
 mod key_issue;
 mod outgoing_call;
+mod retry_rules;
 
 pub use caller_handler::CallerHandler;
 pub use candidate_updater::CandidateUpdater;
--- a/crates/datapath/src/gate/attempts.rs
+++ b/crates/datapath/src/gate/attempts.rs
@@ -2,10 +2,15 @@
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::time::Instant;
 
 use tarragon_model::call::Reason;
 use tarragon_model::identity::RequestId;
 use tarragon_model::identity::SpanId;
+use tracing::debug;
+
+use crate::gate::Gate;
+use crate::transport::CallFailure;
 
 /// Identifies one attempt to send a request over one hop. Parallel calls of an execution differ in
 /// the attempt number, which counts all attempts of the calling node.
@@ -130,5 +135,31 @@
     }
 }
 
+impl Gate {
+    /// Records that the attempt starts, unless it was fenced.
+    pub(super) fn record_attempt_start(
+        &self,
+        attempt: AttemptKey,
+        deadline: Instant,
+    ) -> Result<(), CallFailure> {
+        let now_us = self.clock.now_us();
+        let margin_us = self.settings.attempt_retention_ms * 1_000;
+        let expires_us = now_us + crate::datapath::remaining_us(deadline) + margin_us;
+        self.attempts.start(attempt, now_us, expires_us).map_err(CallFailure::from)
+    }
+
+    /// Prevents an attempt from starting. Returns false if it may have started already.
+    /// `deadline_left_ms` is the time until its deadline.
+    pub fn fence(&self, attempt: AttemptKey, deadline_left_ms: u64) -> bool {
+        let now_us = self.clock.now_us();
+        let deadline_left_ms = deadline_left_ms.min(self.settings.max_deadline_ms);
+        let retention_ms = deadline_left_ms + self.settings.fence_retention_ms;
+        let is_fenced = self.attempts.fence(attempt, now_us, now_us + retention_ms * 1_000);
+        debug!("gate: fence of request {} accepted: {is_fenced}", attempt.request_id);
+        self.metrics.count(if is_fenced { "gate.fenced" } else { "gate.fence_late" }, 1);
+        is_fenced
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/datapath/src/gate/request_gate.rs
+++ b/crates/datapath/src/gate/request_gate.rs
@@ -27,7 +27,6 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
-use tracing::debug;
 use tracing::info;
 
 use crate::backend::BackendStatus;
@@ -406,30 +405,6 @@
             && !is_upgrade
             && (!has_trailing_bytes || self.interface.allows_trailing_bytes())
     }
-
-    /// Records that the attempt starts, unless it was fenced.
-    fn record_attempt_start(
-        &self,
-        attempt: AttemptKey,
-        deadline: Instant,
-    ) -> Result<(), CallFailure> {
-        let now_us = self.clock.now_us();
-        let margin_us = self.settings.attempt_retention_ms * 1_000;
-        let expires_us = now_us + crate::datapath::remaining_us(deadline) + margin_us;
-        self.attempts.start(attempt, now_us, expires_us).map_err(CallFailure::from)
-    }
-
-    /// Prevents an attempt from starting. Returns false if it may have started already.
-    /// `deadline_left_ms` is the time until its deadline.
-    pub fn fence(&self, attempt: AttemptKey, deadline_left_ms: u64) -> bool {
-        let now_us = self.clock.now_us();
-        let deadline_left_ms = deadline_left_ms.min(self.settings.max_deadline_ms);
-        let retention_ms = deadline_left_ms + self.settings.fence_retention_ms;
-        let is_fenced = self.attempts.fence(attempt, now_us, now_us + retention_ms * 1_000);
-        debug!("gate: fence of request {} accepted: {is_fenced}", attempt.request_id);
-        self.metrics.count(if is_fenced { "gate.fenced" } else { "gate.fence_late" }, 1);
-        is_fenced
-    }
 }
 
 /// Failure to report if the backend server states that it did not run the request.
--- a/crates/datapath/src/peer/mod.rs
+++ b/crates/datapath/src/peer/mod.rs
@@ -2,6 +2,7 @@
 //! attempt that has not started from running.
 
 mod auth;
+mod gate_reply;
 mod known_notices;
 mod managed_connection;
 mod peer_body;
--- a/crates/datapath/src/peer/peer_pool.rs
+++ b/crates/datapath/src/peer/peer_pool.rs
@@ -6,18 +6,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use http::HeaderMap;
-use http::HeaderName;
 use http::Method;
 use http::Request;
-use http::Response;
 use http::Uri;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tarragon_model::call::headers;
 use tarragon_model::call::CallContext;
 use tarragon_model::call::Outcome;
-use tarragon_model::call::Reason;
 use tarragon_model::identity::InstanceId;
 use tarragon_model::member::MemberRecord;
 use tarragon_policy::admission::AdmissionAdvice;
@@ -33,11 +27,12 @@
 use crate::gate::AttemptKey;
 use crate::gate::GateCall;
 use crate::gate::GateResponse;
+use crate::peer::gate_reply::parse_number;
+use crate::peer::gate_reply::parse_outcome;
+use crate::peer::gate_reply::read_gate_response;
 use crate::peer::known_notices::KnownNotices;
 use crate::peer::managed_connection::ManagedConnection;
-use crate::peer::peer_body::PeerBody;
 use crate::peer::peer_connection::header_value;
-use crate::peer::peer_connection::parse_advice;
 use crate::peer::peer_connection::PeerConnection;
 use crate::peer::pending_response::PendingResponse;
 use crate::peer::pending_response::SendResult;
@@ -45,10 +40,7 @@
 use crate::peer::FENCE_PATH;
 use crate::quarantine::SharedLedger;
 use crate::transport::empty;
-use crate::transport::strip_hop_headers;
-use crate::transport::strip_tarragon_headers;
 use crate::transport::Body;
-use crate::transport::CallFailure;
 
 /// Time subtracted from the deadline for the network round trip, in ms, so that the gate's definite
 /// response to a late request arrives before the caller's node stops waiting.
@@ -416,41 +408,3 @@
         self.shared.tracker.wait().await;
     }
 }
-
-fn parse_number(map: &HeaderMap, name: HeaderName) -> Option<u64> {
-    map.get(name)?.to_str().ok()?.parse().ok()
-}
-
-fn parse_outcome(map: &HeaderMap) -> Option<Outcome> {
-    map.get(headers::OUTCOME)?.to_str().ok()?.parse().ok()
-}
-
-/// Converts the HTTP response of a peer to the result of its gate.
-fn read_gate_response(
-    response: Response<Incoming>,
-    connection: Arc<PeerConnection>,
-) -> GateResponse {
-    let advice = parse_advice(&response);
-    let (mut parts, incoming) = response.into_parts();
-    let run_time = parts.headers.get(headers::RUN_TIME);
-    let run_time = run_time.and_then(|value| value.to_str().ok()?.parse().ok());
-    let notice = parts.headers.get(headers::NOTICE);
-    let notice = notice.and_then(|value| value.to_str().ok()?.parse().ok());
-    let unused_tokens = parse_number(&parts.headers, headers::RETRY_TOKENS);
-    let unused_tokens = unused_tokens.and_then(|n| u32::try_from(n).ok()).unwrap_or(0);
-    let reason = parts.headers.get(headers::REASON).and_then(|value| value.to_str().ok());
-    let reason: Option<Reason> = reason.and_then(|text| text.parse().ok());
-    let result = match (parse_outcome(&parts.headers), reason) {
-        (Some(Outcome::Answered), _) => {
-            strip_hop_headers(&mut parts.headers);
-            strip_tarragon_headers(&mut parts.headers);
-            Ok(Response::from_parts(parts, PeerBody::new(incoming, connection).boxed_unsync()))
-        }
-        (Some(_), Some(reason)) => {
-            let retry_after_ms = parse_number(&parts.headers, headers::RETRY_AFTER_MS).unwrap_or(0);
-            Err(CallFailure { reason, status: parts.status, retry_after_ms })
-        }
-        _ => Err(Reason::BadAnswer.into()),
-    };
-    GateResponse { result, unused_tokens, advice, run_time, notice }
-}
--- a/crates/policy/src/quarantine/crash_record.rs
+++ b/crates/policy/src/quarantine/crash_record.rs
@@ -20,8 +20,8 @@
     pub fingerprint: RequestFingerprint,
     /// Random identifiers of the crashes, at most [`MAX_CRASHES`].
     pub crashes: BTreeSet<u32>,
-    /// Whether a server has answered the request since a crash under it, so that another request
-    /// that ran at the time must have caused the crash.
+    /// Whether a server has answered the request without an error since a crash under it, so that
+    /// another request that ran at the time must have caused the crash.
     pub is_answered: bool,
 }
 
