--- a/crates/policy/src/admission/slot_admission/tests.rs
+++ b/crates/policy/src/admission/slot_admission/tests.rs
@@ -406,3 +406,21 @@
     gate.set_rate_limit(None, MS);
     assert_eq!(gate.poll(MS).len(), decisions.len() - 1);
 }
+
+/// Guards against advice that makes a limited server look idle to the nodes that call it.
+#[test]
+fn the_advised_limit_is_what_the_rate_limit_lets_run_at_once() {
+    const RUN_US: u64 = 500 * MS;
+    let mut gate = gate(SLOTS_OF_LIMITED);
+    for n in 0..500 {
+        let AdmissionDecision::Run(ticket) = gate.offer(&request(n, RANK, KIND, SECOND), 0) else {
+            panic!("the request does not run")
+        };
+        gate.finish(ticket, &answered(RUN_US), RUN_US);
+    }
+    assert_eq!(gate.advice(SECOND).limit, SLOTS_OF_LIMITED);
+    gate.set_rate_limit(Some(10.0), SECOND);
+    assert_eq!(gate.advice(SECOND).limit, 5);
+    gate.set_rate_limit(None, SECOND);
+    assert_eq!(gate.advice(SECOND).limit, SLOTS_OF_LIMITED);
+}
