Log how long a node takes to fetch a revision, and from how many members in vain

The logs could not tell the hypotheses on the late configuration apart: a failed fetch was logged on the level debug. One line a round now names the members that failed, why, and how long the round took.

--- a/crates/control/src/catalogue/follower.rs
+++ b/crates/control/src/catalogue/follower.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -18,7 +19,6 @@
 use tarragon_wire::MessageChannel;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
-use tracing::debug;
 use tracing::info;
 
 use crate::catalogue::CatalogueSources;
@@ -68,18 +68,38 @@
 
     /// Queries the sources in order until one returns changes.
     async fn fetch_round(&self, salt: u64) {
+        let started = Instant::now();
         let revision = self.revision();
-        for source in self.dependencies.sources.addresses(revision, salt) {
-            match self.fetch(source, revision).await {
+        let sources = self.dependencies.sources.addresses(revision, salt);
+        let mut failures = Vec::new();
+        for source in &sources {
+            match self.fetch(*source, revision).await {
                 Ok(changes) => {
                     if self.apply(&changes) {
-                        info!("note: revision {} in force, fetched from {source}", self.revision());
+                        info!(
+                            revision = self.revision(),
+                            %source,
+                            failed_sources = failures.len(),
+                            elapsed_ms = elapsed_ms(started),
+                            "note: fetched revision is in force"
+                        );
                         return;
                     }
                 }
-                Err(cause) => debug!("note: fetching changes from {source} failed: {cause}"),
+                Err(cause) => failures.push(format!("{source}: {cause}")),
             }
         }
+        let known_revision = *self.dependencies.highest_known_revision.borrow();
+        if known_revision > revision {
+            info!(
+                revision,
+                known_revision,
+                sources = sources.len(),
+                failures = failures.join("; "),
+                elapsed_ms = elapsed_ms(started),
+                "note: no source returned the known revision"
+            );
+        }
     }
 
     async fn fetch(&self, source: SocketAddr, revision: u64) -> Result<CatalogueChanges, String> {
@@ -178,3 +198,7 @@
         Ok(())
     }
 }
+
+fn elapsed_ms(started: Instant) -> u64 {
+    u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/control/tests/control/catalogue_follower.rs
+++ b/crates/control/tests/control/catalogue_follower.rs
@@ -44,8 +44,8 @@
 
 impl FakeMember {
     async fn start(revision: watch::Receiver<u64>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
+        let address = listener.local_addr().expect("the listener is bound");
         let (epoch, epoch_receiver) = watch::channel(0);
         let mut accepting = JoinSet::new();
         accepting.spawn(async move {
@@ -96,7 +96,8 @@
             importance: None,
             configuration: None,
         };
-        let body = encode_authenticated(&key(), MessageChannel::Replica, &changes).unwrap();
+        let body = encode_authenticated(&key(), MessageChannel::Replica, &changes)
+            .expect("changes can be encoded");
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
         let response = [head.as_bytes(), &body].concat();
         if stream.write_all(&response).await.is_err() {
@@ -166,7 +167,8 @@
         }));
         let mut running = JoinSet::new();
         running.spawn(async move {
-            follower.run(Arc::new(Kernel::new()), CancellationToken::new()).await.unwrap();
+            let run = follower.run(Arc::new(Kernel::new()), CancellationToken::new());
+            run.await.expect("the follower runs until the test ends");
         });
         Self { members, records, revision, highest_known_revision, catalogue, _running: running }
     }
@@ -186,7 +188,7 @@
         let limit = Duration::from_millis(WAIT_LIMIT_MS);
         let in_force = tokio::time::timeout(limit, in_force).await;
         assert!(in_force.is_ok(), "revision {next} is not in force after {WAIT_LIMIT_MS} ms");
-        u64::try_from(started.elapsed().as_millis()).unwrap()
+        u64::try_from(started.elapsed().as_millis()).expect("the wait is limited")
     }
 }
 
