Fetch a new revision from several members at once if the first ones are slow

Cause: a node asked one member after the other for the changes, each with a time limit of 1 s, and connections to them stayed in the pool for up to 90 s. Every connection that had gone silent, and every paused member, cost the whole limit; two of them use up the 2 s in which a configuration must be in force.

Now the next member is asked after 100 ms without a response, up to four at a time and eight a round, and a connection is reused only within 500 ms, when it has just worked. A slow member then costs 100 ms, whatever the reason.

--- a/crates/client/src/control_client.rs
+++ b/crates/client/src/control_client.rs
@@ -21,6 +21,11 @@
 /// client allocate.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
+/// Maximum time for which an idle connection is kept, in ms. A connection whose state was lost on the
+/// network path stays silent until a request times out, so a connection is reused only if it has
+/// worked shortly before.
+const MAX_IDLE_MS: u64 = 500;
+
 /// Response of the control API.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ApiResponse {
@@ -47,7 +52,9 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_millis(timeout_ms.min(1000))));
-        let http = Client::builder(TokioExecutor::new()).build(connector);
+        let http = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(Duration::from_millis(MAX_IDLE_MS))
+            .build(connector);
         Self { http, bearer_token, timeout: Duration::from_millis(timeout_ms) }
     }
 
--- a/crates/control/src/catalogue/follower.rs
+++ b/crates/control/src/catalogue/follower.rs
@@ -23,6 +23,7 @@
 
 use crate::catalogue::CatalogueSources;
 use crate::control::ControlLog;
+use crate::hedging::first_success;
 
 /// Time limit for fetching changes from one node, in ms.
 const FETCH_TIMEOUT_MS: u64 = 1_000;
@@ -66,31 +67,25 @@
         self.dependencies.catalogue.borrow().revision()
     }
 
-    /// Queries the sources in order until one returns changes.
+    /// Queries the sources until one returns changes.
     async fn fetch_round(&self, salt: u64) {
         let started = Instant::now();
         let revision = self.revision();
         let sources = self.dependencies.sources.addresses(revision, salt);
-        let mut failures = Vec::new();
-        for source in &sources {
-            match self.fetch(*source, revision).await {
-                Ok(changes) => {
-                    if self.apply(&changes) {
-                        info!(
-                            revision = self.revision(),
-                            %source,
-                            failed_sources = failures.len(),
-                            elapsed_ms = elapsed_ms(started),
-                            "note: fetched revision is in force"
-                        );
-                        return;
-                    }
-                }
-                Err(cause) => failures.push(format!("{source}: {cause}")),
+        let mut unqueried = sources.iter().copied();
+        let fetched = first_success(|| unqueried.next(), |source| self.fetch(source, revision));
+        let failures = match fetched.await {
+            Ok((source, changes)) if self.apply(&changes) => {
+                let elapsed_ms = elapsed_ms(started);
+                let revision = self.revision();
+                info!(revision, %source, elapsed_ms, "note: fetched revision is in force");
+                return;
             }
-        }
+            Ok(_) => Vec::new(),
+            Err(failures) => failures,
+        };
         let known_revision = *self.dependencies.highest_known_revision.borrow();
-        if known_revision > revision {
+        if known_revision > self.revision() {
             info!(
                 revision,
                 known_revision,
@@ -102,19 +97,30 @@
         }
     }
 
-    async fn fetch(&self, source: SocketAddr, revision: u64) -> Result<CatalogueChanges, String> {
+    /// Fetches the changes after `revision` from a source. Fails if there are none.
+    async fn fetch(
+        &self,
+        source: SocketAddr,
+        revision: u64,
+    ) -> Result<(SocketAddr, CatalogueChanges), String> {
+        let failure = |cause: String| format!("{source}: {cause}");
         let path = format!("/v1/catalogue?since={revision}");
         let response = self.client.send(source, Method::GET, &path, Bytes::new()).await;
-        let response = response.map_err(|report| report.current_context().to_string())?;
+        let response = response.map_err(|report| failure(report.current_context().to_string()))?;
         if !response.status.is_success() {
-            return Err(format!("HTTP status {}", response.status));
+            return Err(failure(format!("HTTP status {}", response.status)));
         }
-        let changes = decode_authenticated(
+        let changes: CatalogueChanges = decode_authenticated(
             &self.dependencies.deployment_key,
             MessageChannel::Replica,
             &response.body,
-        );
-        changes.map_err(|e| e.to_string())
+        )
+        .map_err(|e| failure(e.to_string()))?;
+        if changes.to_revision > revision {
+            Ok((source, changes))
+        } else {
+            Err(failure("has no newer revision".into()))
+        }
     }
 
     fn apply(&self, changes: &CatalogueChanges) -> bool {
--- a/crates/control/src/catalogue/sources.rs
+++ b/crates/control/src/catalogue/sources.rs
@@ -7,7 +7,7 @@
 use crate::replica::ControlReplica;
 
 /// Maximum number of members that are queried in one round, which limits the duration of a round.
-const MAX_MEMBERS_PER_ROUND: usize = 4;
+const MAX_MEMBERS_PER_ROUND: usize = 8;
 
 /// Selects the nodes from which catalogue changes are fetched.
 pub struct CatalogueSources {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod catalogue;
 pub mod claims;
 pub mod control;
+mod hedging;
 pub mod members;
 pub mod replica;
