Send a request to the log to the next replica if the first one is slow

A replica that is paused or dark stays among the members for some seconds and is tried by every node in the same order, while operators turn to the next node after 1 s. Their call is dropped with the connection, so no node gets to the second replica.

The fake peer of the tests moved to a file of its own.

--- a/crates/control/src/control/remote_log.rs
+++ b/crates/control/src/control/remote_log.rs
@@ -1,5 +1,7 @@
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -19,6 +21,7 @@
 use crate::control::ControlLog;
 use crate::control::ControlRequest;
 use crate::control::ControlResult;
+use crate::hedging::first_success;
 use crate::replica::ReplicaAddresses;
 
 /// Path of control requests between nodes.
@@ -46,30 +49,29 @@
         Self { addresses, client: ControlClient::new(None, REPLICA_TIMEOUT_MS), key }
     }
 
-    /// Sends the request to every known replica at most once. A replica that another one names as
-    /// leader is tried next.
+    /// Sends the request to every known replica at most once, until one executes it. A replica that
+    /// another one names as leader is tried next.
     async fn try_replicas(&self, request: &ControlRequest) -> ControlResult {
-        let mut replicas = self.addresses.control_addresses();
-        let mut failure = ControlFailure::NoMajority;
-        let mut next = 0;
-        while next < replicas.len() {
-            let address = replicas[next].1;
-            next += 1;
+        let untried = Mutex::new(VecDeque::from(self.addresses.control_addresses()));
+        let lock = || untried.lock().expect("no thread panics while it holds the lock");
+        let try_next = |(_, address): (String, SocketAddr)| async move {
             match self.try_replica(address, request).await {
                 Err(ControlFailure::NotLeader { leader }) => {
-                    let leader = leader.as_deref();
-                    let offset =
-                        replicas[next..].iter().position(|(name, _)| Some(name.as_str()) == leader);
-                    if let Some(offset) = offset {
-                        replicas.swap(next, next + offset);
-                    }
+                    move_to_front(&mut lock(), leader.as_deref());
+                    Err(ControlFailure::NoMajority)
                 }
-                Err(ControlFailure::OutcomeUnknown) => failure = ControlFailure::OutcomeUnknown,
-                Err(ControlFailure::NoMajority) => {}
-                result => return result,
+                Err(ControlFailure::OutcomeUnknown) => Err(ControlFailure::OutcomeUnknown),
+                Err(ControlFailure::NoMajority) => Err(ControlFailure::NoMajority),
+                result => Ok(result),
+            }
+        };
+        match first_success(|| lock().pop_front(), try_next).await {
+            Ok(result) => result,
+            Err(failures) if failures.contains(&ControlFailure::OutcomeUnknown) => {
+                Err(ControlFailure::OutcomeUnknown)
             }
+            Err(_) => Err(ControlFailure::NoMajority),
         }
-        Err(failure)
     }
 
     async fn try_replica(&self, address: SocketAddr, request: &ControlRequest) -> ControlResult {
@@ -97,9 +99,9 @@
 
 #[async_trait]
 impl ControlLog for RemoteLog {
-    /// Tries the replicas in turn, preferring the one that another names as leader. Retrying a
-    /// request is safe because the state machine gives a repeated command the same response as the
-    /// first time.
+    /// Tries the replicas, preferring the one that another names as leader. Sending a request to
+    /// several replicas, or again, is safe because the state machine gives a repeated command the
+    /// same response as the first time.
     async fn request(&self, request: &ControlRequest) -> ControlResult {
         let deadline = Instant::now() + Duration::from_millis(REQUEST_TIMEOUT_MS);
         let mut failure = ControlFailure::NoMajority;
@@ -118,3 +120,10 @@
         None
     }
 }
+
+fn move_to_front(replicas: &mut VecDeque<(String, SocketAddr)>, name: Option<&str>) {
+    let position = replicas.iter().position(|(other, _)| Some(other.as_str()) == name);
+    if let Some(replica) = position.and_then(|position| replicas.remove(position)) {
+        replicas.push_front(replica);
+    }
+}
--- a/crates/control/tests/control/catalogue_follower.rs
+++ b/crates/control/tests/control/catalogue_follower.rs
@@ -1,5 +1,3 @@
-use std::io::ErrorKind;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -13,19 +11,17 @@
 use tarragon_model::catalogue::Catalogue;
 use tarragon_model::catalogue::CatalogueChanges;
 use tarragon_model::identity::InstanceId;
-use tarragon_model::member::BackendState;
 use tarragon_model::member::MemberRecord;
 use tarragon_wire::encode_authenticated;
-use tarragon_wire::DeploymentKey;
 use tarragon_wire::MessageChannel;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
+use crate::fake_peer::deployment_key;
+use crate::fake_peer::member_record;
+use crate::fake_peer::FakePeer;
+
 /// Time in which an accepted configuration is in force everywhere, in ms.
 const CONVERGENCE_TIMEOUT_MS: u64 = 2_000;
 
@@ -34,102 +30,23 @@
 
 const DATA_CENTRE: &str = "a";
 
-/// Control API of a member that has every revision.
-struct FakeMember {
-    address: SocketAddr,
-    /// Connections that are opened under another number than the current one never answer again.
-    epoch: watch::Sender<u64>,
-    _accepting: JoinSet<()>,
-}
-
-impl FakeMember {
-    async fn start(revision: watch::Receiver<u64>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
-        let address = listener.local_addr().expect("the listener is bound");
-        let (epoch, epoch_receiver) = watch::channel(0);
-        let mut accepting = JoinSet::new();
-        accepting.spawn(async move {
-            let mut connections = JoinSet::new();
-            while let Ok((stream, _)) = listener.accept().await {
-                connections.spawn(answer(stream, revision.clone(), epoch_receiver.clone()));
-            }
-        });
-        Self { address, epoch, _accepting: accepting }
-    }
-
-    /// Silences all open connections without closing them; new ones work.
-    fn silence_connections(&self) {
-        self.epoch.send_modify(|epoch| *epoch += 1);
-    }
-
-    /// Silences all connections, also new ones, like a host that is paused.
-    fn pause(&self) {
-        self.epoch.send_replace(u64::MAX);
-    }
-}
-
-/// Answers the requests of one connection with the changes up to the current revision.
-async fn answer(
-    mut stream: TcpStream,
-    revision: watch::Receiver<u64>,
-    epoch: watch::Receiver<u64>,
-) {
-    let opened_in = *epoch.borrow();
-    let mut request = Vec::new();
-    loop {
-        match stream.read_buf(&mut request).await {
-            Ok(0) => return,
-            Ok(_) => {}
-            Err(e) if e.kind() == ErrorKind::ConnectionReset => return,
-            Err(e) => panic!("reading a request failed: {e}"),
-        }
-        let is_silent = *epoch.borrow() != opened_in || opened_in == u64::MAX;
-        if is_silent || !request.ends_with(b"\r\n\r\n") {
-            continue;
-        }
-        request.clear();
-        let changes = CatalogueChanges {
-            from_revision: 0,
-            to_revision: *revision.borrow(),
-            services: Vec::new(),
-            withdrawn: Vec::new(),
-            importance: None,
-            configuration: None,
-        };
-        let body = encode_authenticated(&key(), MessageChannel::Replica, &changes)
-            .expect("changes can be encoded");
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-        let response = [head.as_bytes(), &body].concat();
-        if stream.write_all(&response).await.is_err() {
-            return;
-        }
-    }
-}
-
-fn key() -> DeploymentKey {
-    DeploymentKey::from_text("a key of the tests")
-}
-
-fn member_record(index: usize, data_centre: &str, address: SocketAddr) -> MemberRecord {
-    MemberRecord {
-        node: format!("host-{index}"),
-        instance: InstanceId(index as u64 + 1),
-        data_centre: data_centre.into(),
-        region: "region".into(),
-        gossip_address: address,
-        peer_address: address,
-        control_address: address,
-        replica_address: None,
-        service: String::new(),
-        state: BackendState::Ready,
-        version: 1,
-        revision: 0,
-    }
+/// Encodes changes without content up to the current revision.
+fn encoded_changes(revision: &watch::Receiver<u64>) -> Vec<u8> {
+    let changes = CatalogueChanges {
+        from_revision: 0,
+        to_revision: *revision.borrow(),
+        services: Vec::new(),
+        withdrawn: Vec::new(),
+        importance: None,
+        configuration: None,
+    };
+    encode_authenticated(&deployment_key(), MessageChannel::Replica, &changes)
+        .expect("changes can be encoded")
 }
 
 /// A follower, the members that it fetches from, and the revision that they have.
 struct Harness {
-    members: Vec<FakeMember>,
+    members: Vec<FakePeer>,
     records: watch::Sender<Arc<Vec<MemberRecord>>>,
     revision: watch::Sender<u64>,
     highest_known_revision: watch::Sender<u64>,
@@ -143,7 +60,8 @@
         let (revision, revision_receiver) = watch::channel(0);
         let (mut members, mut records) = (Vec::new(), Vec::new());
         for (index, data_centre) in data_centres.iter().enumerate() {
-            let member = FakeMember::start(revision_receiver.clone()).await;
+            let current = revision_receiver.clone();
+            let member = FakePeer::start(Arc::new(move || encoded_changes(&current))).await;
             records.push(member_record(index, data_centre, member.address));
             members.push(member);
         }
@@ -161,7 +79,7 @@
                 replicas: Vec::new(),
             },
             highest_known_revision: highest_receiver,
-            deployment_key: key(),
+            deployment_key: deployment_key(),
             instance: InstanceId(100),
             poll_interval_ms: 10_000,
         }));
@@ -198,7 +116,7 @@
     for index in 0..harness.members.len() {
         harness.announce_next_revision(&[index]).await;
     }
-    harness.members.iter().for_each(FakeMember::silence_connections);
+    harness.members.iter().for_each(FakePeer::silence_connections);
     let elapsed_ms = harness.announce_next_revision(&[0, 1, 2, 3]).await;
     assert!(elapsed_ms < CONVERGENCE_TIMEOUT_MS, "{elapsed_ms} ms");
 }
@@ -206,7 +124,7 @@
 #[tokio::test]
 async fn paused_members_do_not_delay_a_revision() {
     let mut harness = Harness::start(&[DATA_CENTRE, DATA_CENTRE, DATA_CENTRE, "b"]).await;
-    harness.members[..3].iter().for_each(FakeMember::pause);
+    harness.members[..3].iter().for_each(FakePeer::pause);
     let elapsed_ms = harness.announce_next_revision(&[0, 1, 2, 3]).await;
     assert!(elapsed_ms < CONVERGENCE_TIMEOUT_MS, "{elapsed_ms} ms");
 }
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -1,4 +1,6 @@
-//! Tests of the control state and of the copies that nodes fetch.
+//! Tests of the control state, and of requests to other nodes.
 
 mod catalogue_follower;
 mod control_state;
+mod fake_peer;
+mod remote_log;
