Test that a response which ends within its head is no success

Other operators saw callers get a 200 with an empty or short body when a backend server stopped in the middle of the head and closed. It does not happen here: a head cut after each of its bytes, with and without a length, gives 502 with an unknown outcome, through the node of the server and through a peer. The HTTP client of the gate delivers no response before the end of its head.

--- a/crates/datapath/tests/datapath/routed.rs
+++ b/crates/datapath/tests/datapath/routed.rs
@@ -192,6 +192,27 @@
     }
 }
 
+#[tokio::test]
+async fn a_response_that_ends_within_its_head_is_no_success() {
+    const WITH_LENGTH: &[u8] = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 17\r\n\r\n";
+    const CLOSE_DELIMITED: &[u8] = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: 17\r\n\r\n";
+    for head in [WITH_LENGTH, CLOSE_DELIMITED] {
+        for length in 0..head.len() {
+            let cluster = configured_cluster();
+            let backend = start_closing_backend(&head[..length]).await;
+            let owner = cluster.start_node("owner", Some(backend)).await;
+            let entry = cluster.start_node("entry", None).await;
+            wait_until_routed(&owner).await;
+            wait_until_routed(&entry).await;
+            for node in [&owner, &entry] {
+                let reply = send(node, "/once/7").await;
+                let result = (reply.status.as_u16(), reply.outcome());
+                assert_eq!(result, (502, "unknown"), "after {length} bytes of {head:?}");
+            }
+        }
+    }
+}
+
 /// Guards against a caller that waits longer than the time limit of its route.
 #[tokio::test]
 async fn the_time_limit_of_a_route_ends_the_wait() {
