Test that a repeated refusal is no answer to a later request

Other operators saw a backend server write an earlier refusal once more on a kept connection, and callers were told that a request had not run which had. It does not happen here: a gate closes the connection on which a refusal came, so no later request uses it.

--- a/crates/datapath/tests/datapath/routed.rs
+++ b/crates/datapath/tests/datapath/routed.rs
@@ -1,5 +1,6 @@
 //! Requests that are matched to the routes of a configuration, with headers of a platform.
 
+use std::net::SocketAddr;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -13,6 +14,9 @@
 use tarragon_model::configuration::Route;
 use tarragon_model::configuration::RouteTarget;
 use tarragon_model::configuration::ServiceLimits;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
 use crate::support::request;
 use crate::support::start_closing_backend;
@@ -213,6 +217,57 @@
     }
 }
 
+/// Backend server that writes its refusal of the first request once more before the response to any
+/// later request on the same connection.
+async fn start_repeating_backend() -> (SocketAddr, Arc<AtomicUsize>) {
+    const REFUSAL: &[u8] =
+        b"HTTP/1.1 503 Full\r\nX-Id: 7\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 7\r\n\r\nweighed";
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let runs = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&runs);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let counted = Arc::clone(&counted);
+            tokio::spawn(async move {
+                let mut has_refused = false;
+                let mut bytes = Vec::new();
+                while stream.read_buf(&mut bytes).await.unwrap_or(0) > 0 {
+                    if !bytes.ends_with(b"12 kg") {
+                        continue;
+                    }
+                    bytes.clear();
+                    let response = if has_refused {
+                        counted.fetch_add(1, Ordering::SeqCst);
+                        [REFUSAL, RESPONSE].concat()
+                    } else {
+                        REFUSAL.to_vec()
+                    };
+                    has_refused = true;
+                    if stream.write_all(&response).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, runs)
+}
+
+#[tokio::test]
+async fn a_repeated_refusal_is_no_answer_to_a_later_request() {
+    let (backend, runs) = start_repeating_backend().await;
+    let cluster = configured_cluster();
+    let node = cluster.start_node("one", Some(backend)).await;
+    for _ in 0..20 {
+        let before = runs.load(Ordering::SeqCst);
+        let reply = send(&node, "/once/7").await;
+        let is_run = runs.load(Ordering::SeqCst) > before;
+        assert!(!(is_run && reply.outcome() == "not-run"), "a request that ran is refused");
+    }
+}
+
 /// Guards against a caller that waits longer than the time limit of its route.
 #[tokio::test]
 async fn the_time_limit_of_a_route_ends_the_wait() {
