Look up the members with a new revision again for each request

Most of the rounds knew of one member only, so asking the next one after 100 ms needs the members that have reached the revision since. No test fails without this; it shortens a round that starts with a paused member.

--- a/crates/control/src/catalogue/follower.rs
+++ b/crates/control/src/catalogue/follower.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -71,9 +72,13 @@
     async fn fetch_round(&self, salt: u64) {
         let started = Instant::now();
         let revision = self.revision();
-        let sources = self.dependencies.sources.addresses(revision, salt);
-        let mut unqueried = sources.iter().copied();
-        let fetched = first_success(|| unqueried.next(), |source| self.fetch(source, revision));
+        // The sources are looked up again for each request, as more members reach the revision.
+        let mut queried = BTreeSet::new();
+        let next_source = || {
+            let sources = self.dependencies.sources.addresses(revision, salt);
+            sources.into_iter().find(|source| queried.insert(*source))
+        };
+        let fetched = first_success(next_source, |source| self.fetch(source, revision));
         let failures = match fetched.await {
             Ok((source, changes)) if self.apply(&changes) => {
                 let elapsed_ms = elapsed_ms(started);
@@ -89,7 +94,7 @@
             info!(
                 revision,
                 known_revision,
-                sources = sources.len(),
+                sources = queried.len(),
                 failures = failures.join("; "),
                 elapsed_ms = elapsed_ms(started),
                 "note: no source returned the known revision"
--- a/crates/control/src/catalogue/sources.rs
+++ b/crates/control/src/catalogue/sources.rs
@@ -6,8 +6,8 @@
 
 use crate::replica::ControlReplica;
 
-/// Maximum number of members that are queried in one round, which limits the duration of a round.
-const MAX_MEMBERS_PER_ROUND: usize = 8;
+/// Maximum number of members among the candidates, which limits the duration of a round.
+const MAX_MEMBERS: usize = 8;
 
 /// Selects the nodes from which catalogue changes are fetched.
 pub struct CatalogueSources {
@@ -34,7 +34,7 @@
             members.iter().filter(|member| member.revision > revision).collect();
         candidates.sort_by_key(|member| (self.distance(member), member.instance.0 ^ salt));
         let candidates =
-            candidates.into_iter().take(MAX_MEMBERS_PER_ROUND).map(|m| m.control_address);
+            candidates.into_iter().take(MAX_MEMBERS).map(|member| member.control_address);
         candidates.chain(self.replicas.iter().map(|r| r.control_address)).collect()
     }
 
