Refuse requests late in a stop that only look like calls of the backend server

Other operators saw requests that came late in the grace of a planned stop taken, passed on and cut at its end, among them requests that may not be repeated. It could happen here: while the last runs of a stopping node end, its entry serves the calls of its backend server, and took every request for one whose deadline was not after those of all runs. A request of a client with a shorter deadline, such as an upload, passed.

A call expires together with the run that makes it, so only such requests are served now.

--- a/crates/datapath/src/entry/caller_handler.rs
+++ b/crates/datapath/src/entry/caller_handler.rs
@@ -93,9 +93,10 @@
         let inbound = self.interface.read_request(&mut parts, &catalogue, settings)?;
         drop(catalogue);
         if *self.serving.borrow() == ServingState::BackendCallsOnly
-            && !self.may_be_server_call(&inbound)
+            && !self.expires_with_execution(&inbound)
         {
             // The caller was asked earlier to reconnect, and other nodes can serve it immediately.
+            // Here it could still run when the process is killed.
             return Err(failure_before_owner(Reason::Draining.into(), is_keyed));
         }
         if body.size_hint().lower() > inbound.max_body_bytes {
@@ -159,6 +160,14 @@
         })
     }
 
+    /// Whether the request expires together with one that the node's backend server runs, as the calls
+    /// of the backend server do.
+    fn expires_with_execution(&self, inbound: &InboundRequest) -> bool {
+        inbound.caller_deadline.is_some_and(|at| {
+            self.forwarder.dependencies.gate.backend_calls.expires_with_execution(at)
+        })
+    }
+
     /// Logs the outcome of a request and the attributes that determined it.
     fn log_outcome(
         &self,
--- a/crates/datapath/src/gate/backend_calls.rs
+++ b/crates/datapath/src/gate/backend_calls.rs
@@ -15,6 +15,10 @@
 /// are transmitted in whole ms and are read with a small delay.
 const DEADLINE_SLACK: Duration = Duration::from_millis(5);
 
+/// Time by which the deadline of a call may precede that of the execution that makes it although both
+/// expire together: the time left is cut to whole ms at each hop, and passes meanwhile.
+const DEADLINE_ROUNDING: Duration = Duration::from_millis(10);
+
 /// Statistics on the calls that the backend server makes while it runs requests.
 ///
 /// Backend servers need not identify the execution that a call belongs to, so these are statistics
@@ -35,8 +39,15 @@
     /// has no later deadline than the execution that makes it, so a request whose deadline is later
     /// than those of all executions is not such a call.
     pub(crate) fn may_come_from_backend(&self, caller_deadline: Instant) -> bool {
-        let latest = caller_deadline.checked_sub(DEADLINE_SLACK).unwrap_or(caller_deadline);
-        self.spans.any_running_until(latest)
+        let earliest = caller_deadline.checked_sub(DEADLINE_SLACK).unwrap_or(caller_deadline);
+        self.spans.any_running_until(earliest..)
+    }
+
+    /// Whether a request that entered at this node expires together with an execution, like the calls
+    /// that the execution makes. Few other requests do.
+    pub(crate) fn expires_with_execution(&self, caller_deadline: Instant) -> bool {
+        let earliest = caller_deadline.checked_sub(DEADLINE_SLACK).unwrap_or(caller_deadline);
+        self.spans.any_running_until(earliest..=caller_deadline + DEADLINE_ROUNDING)
     }
 
     /// Records that a call was refused for overload.
--- a/crates/datapath/src/gate/spans.rs
+++ b/crates/datapath/src/gate/spans.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::ops::RangeBounds;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -100,10 +101,12 @@
         }
     }
 
-    /// Whether an execution that runs at the backend server has a deadline at or after `time`.
-    pub(crate) fn any_running_until(&self, time: Instant) -> bool {
+    /// Whether the deadline of an execution that runs at the backend server is within a range.
+    pub(crate) fn any_running_until(&self, deadlines: impl RangeBounds<Instant>) -> bool {
         let records = self.lock();
-        records.values().any(|record| record.is_running && record.context.deadline >= time)
+        records
+            .values()
+            .any(|record| record.is_running && deadlines.contains(&record.context.deadline))
     }
 
     pub(crate) fn requests_in_progress(&self) -> Vec<RequestInProgress> {
