--- a/crates/datapath/src/datapath/serving_state.rs
+++ b/crates/datapath/src/datapath/serving_state.rs
@@ -11,4 +11,7 @@
     /// The time for callers to reconnect is over. The node serves only the calls that its own
     /// backend server makes, until the last request that runs there has finished.
     BackendCallsOnly,
+    /// The process will be killed soon. The node finishes the requests in progress and refuses all
+    /// others.
+    FinishingOnly,
 }
--- a/crates/datapath/src/entry/caller_handler.rs
+++ b/crates/datapath/src/entry/caller_handler.rs
@@ -92,9 +92,12 @@
         let catalogue = Arc::clone(&self.forwarder.dependencies.catalogue.borrow());
         let inbound = self.interface.read_request(&mut parts, &catalogue, settings)?;
         drop(catalogue);
-        if *self.serving.borrow() == ServingState::BackendCallsOnly
-            && !self.expires_with_execution(&inbound)
-        {
+        let is_refused = match *self.serving.borrow() {
+            ServingState::FinishingOnly => true,
+            ServingState::BackendCallsOnly => !self.expires_with_execution(&inbound),
+            ServingState::NotReady | ServingState::Ready | ServingState::Closing => false,
+        };
+        if is_refused {
             // The caller was asked earlier to reconnect, and other nodes can serve it immediately.
             // Here it could still run when the process is killed.
             return Err(failure_before_owner(Reason::Draining.into(), is_keyed));
@@ -225,7 +228,7 @@
         }
         let is_closing = matches!(
             *self.serving.borrow(),
-            ServingState::Closing | ServingState::BackendCallsOnly
+            ServingState::Closing | ServingState::BackendCallsOnly | ServingState::FinishingOnly
         );
         self.interface.write_response(result, is_closing)
     }
--- a/crates/datapath/tests/datapath/keys.rs
+++ b/crates/datapath/tests/datapath/keys.rs
@@ -119,6 +119,18 @@
             is_call_answered |= call.outcome() == "answered";
         }
         assert!(is_call_answered, "no call is served");
+        cluster.serving.send_replace(ServingState::FinishingOnly);
+        let before = backend.count();
+        for _ in 0..MAX_CALLS {
+            let left_ms = LONG_DEADLINE_MS - sent_at.elapsed().as_millis();
+            let call = request(node.caller, "GET", "/", &deadline(&left_ms.to_string()), "").await;
+            assert_eq!((call.outcome(), call.reason()), ("not-run", "draining"));
+        }
+        assert_eq!(
+            backend.count(),
+            before,
+            "a call is served shortly before the process is killed"
+        );
         permits.add_permits(1);
     };
     let (reply, ()) = tokio::join!(running, during_run);
--- a/crates/node/src/app/node.rs
+++ b/crates/node/src/app/node.rs
@@ -82,6 +82,10 @@
 /// Delay before the newest revision is requested again from the replicated log, in ms.
 const CONFIRM_RETRY_MS: u64 = 100;
 
+/// Last part of the stop timeout, in which no more calls of the backend server are served, in ms. A
+/// call that starts in it could be cut when the process is killed.
+const LAST_CALLS_MS: u64 = 500;
+
 /// Runs a node until SIGTERM or SIGINT, then drains it.
 ///
 /// # Errors
@@ -290,6 +294,9 @@
         let limits = &self.settings.limits;
         let drain_notice = Duration::from_millis(limits.drain_notice_ms);
         let gate_notice = drain_notice.min(Duration::from_millis(limits.gate_notice_ms));
+        let calls_period = Duration::from_millis(limits.stop_timeout_ms)
+            .saturating_sub(drain_notice)
+            .saturating_sub(Duration::from_millis(LAST_CALLS_MS));
         let data_path = DataPath::bind(settings, self.data_path_dependencies.clone(), policies)
             .await
             .change_context(NodeError::Bind("data path"))?;
@@ -318,7 +325,12 @@
             // A request accepted after this point could still run when the process is killed at the
             // end of its stop timeout.
             self.serving.send_replace(ServingState::BackendCallsOnly);
-            data_path.gate().wait_until_idle().await;
+            let gate = data_path.gate();
+            if tokio::time::timeout(calls_period, gate.wait_until_idle()).await.is_err() {
+                info!("drain: no more calls are served before the process is killed");
+                self.serving.send_replace(ServingState::FinishingOnly);
+                gate.wait_until_idle().await;
+            }
             info!("drain: no request is in progress");
             data_stop.cancel();
         };
--- a/crates/node/src/conf/check.rs
+++ b/crates/node/src/conf/check.rs
@@ -114,6 +114,9 @@
     if limits.max_head_bytes < 8192 {
         mistakes.push(Mistake::new("$.limits.max_head_bytes", "must be at least 8192"));
     }
+    if limits.stop_timeout_ms <= limits.drain_notice_ms {
+        mistakes.push(Mistake::new("$.limits.stop_timeout_ms", "must exceed drain_notice_ms"));
+    }
     if limits.retry_percent > 100 {
         mistakes.push(Mistake::new("$.limits.retry_percent", "must be at most 100"));
     }
--- a/crates/node/src/conf/settings.rs
+++ b/crates/node/src/conf/settings.rs
@@ -171,6 +171,8 @@
     /// Last part of `drain_notice_ms`, in which the backend server is announced as draining, so
     /// that other nodes send it no more requests, in ms.
     pub gate_notice_ms: u64,
+    /// Time after a stop was requested at which the process is killed if it still runs, in ms.
+    pub stop_timeout_ms: u64,
     /// Model by which the load of backend servers is estimated.
     pub load_model: LoadModel,
     /// Maximum retries for a service, in percent of its requests.
@@ -195,6 +197,7 @@
             backend_idle_ms: 10_000,
             drain_notice_ms: 1_500,
             gate_notice_ms: 1_500,
+            stop_timeout_ms: 90_000,
             load_model: LoadModel::Learnt,
             retry_percent: 10,
             retry_floor: 3,
