Add a failing test of two documents that are acknowledged under one version

A second operator who submits another document with the version and base version of an accepted one gets an acknowledgement, although the document in force is the first one's, if the two differ only in fields that no node uses.

--- a/crates/model/tests/configuration.rs
+++ b/crates/model/tests/configuration.rs
@@ -76,6 +76,26 @@
     assert_eq!(catalogue.configuration(), Some(&second));
 }
 
+/// Guards against a change that is acknowledged and lost, because it differs from the one of another
+/// operator only in fields that no node uses.
+#[test]
+fn a_document_that_differs_in_unused_fields_is_another_submission() {
+    let mut catalogue = Catalogue::default();
+    let submission = |document: &str| {
+        let mut submission = configuration(3, 0, vec![route("a", "/a/")]);
+        submission.document = document.into();
+        submission
+    };
+    let first = submission(r#"{"health": "/live", "version": 3}"#);
+    assert_eq!(catalogue.configure(&first), ConfigureAnswer::Accepted);
+    let other = submission(r#"{"health": "/ready", "version": 3}"#);
+    let conflict = ConfigureAnswer::Conflict { current_version: 3 };
+    assert_eq!(catalogue.configure(&other), conflict);
+    let reordered = submission(r#"{"version":3,"health":"/live"}"#);
+    assert_eq!(catalogue.configure(&reordered), ConfigureAnswer::Accepted);
+    assert_eq!(catalogue.configuration(), Some(&first));
+}
+
 #[test]
 fn an_invalid_configuration_is_refused_and_changes_nothing() {
     type Change = fn(&mut Route);
