Recognise a repeated configuration by its document, not only by what nodes use

What operators would see: two of them submit different documents with the same version on the same base. Both are acknowledged, and the second change is lost, if the two differ only in fields that no node uses, such as the path of a health check.

Cause: the digest by which a repeated submission is recognised was made of the parsed configuration. It now covers the document as well, with the keys of JSON objects in order, so that the same document is still acknowledged when its sender writes it anew. Documents with other routes or limits were told apart before, and are by the same digest.

--- a/crates/model/src/configuration/full_configuration.rs
+++ b/crates/model/src/configuration/full_configuration.rs
@@ -66,11 +66,19 @@
         })
     }
 
-    /// Digest of the content, by which a repeated submission is recognised.
+    /// Digest by which a repeated submission is recognised. It covers the document as well, because an
+    /// operator reads back fields that no node uses. The order of keys and white space in JSON make
+    /// no difference.
     pub fn digest(&self) -> [u8; 16] {
-        let bytes = serde_json::to_vec(&self.without_document());
+        let content = serde_json::to_vec(&self.without_document());
+        // A parsed object has its keys in order.
+        let parsed = serde_json::from_str::<serde_json::Value>(&self.document);
+        let document = parsed.map_or_else(|_| self.document.clone(), |value| value.to_string());
+        let hash = blake3::Hasher::new()
+            .update(&content.expect("a configuration is valid JSON"))
+            .update(document.as_bytes())
+            .finalize();
         let mut digest = [0; 16];
-        let hash = blake3::hash(&bytes.expect("a configuration is valid JSON"));
         digest.copy_from_slice(&hash.as_bytes()[..16]);
         digest
     }
