Ask the next source of a revision later, so that a busy one is not doubled

Since a node asks the next member for a revision after 100 ms. With many routes the first member of a data centre that has a revision takes longer than that, as all others fetch from it, so revisions were sent between data centres twice. That costs the users' links; nothing was late.

no_other_peer_is_asked_while_the_first_one_is_only_busy failed before ("left: (Ok(1), [0, 1])") and plays in virtual time.

--- a/crates/control/src/hedging/first_success.rs
+++ b/crates/control/src/hedging/first_success.rs
@@ -4,9 +4,10 @@
 use futures_util::stream::FuturesUnordered;
 use futures_util::StreamExt;
 
-/// Time without a response after which the next peer is queried as well, in ms. A response usually
-/// takes one or two round trips between data centres.
-const HEDGE_DELAY_MS: u64 = 100;
+/// Time without a response after which the next peer is queried as well, in ms. A source from which many
+/// nodes fetch a large revision at once takes longer than a round trip, and a second response would
+/// cross the link between data centres in vain.
+const HEDGE_DELAY_MS: u64 = 250;
 
 /// Maximum number of peers that are queried at a time.
 const MAX_PARALLEL_REQUESTS: usize = 4;
@@ -41,3 +42,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
