Let a revision arrive that takes longer than a second to transfer

What callers would see: behind a narrow link, a node goes on with an old configuration for as long as the link is narrow. A fetch of a revision had to be complete within 1 s; one that takes longer failed and began anew, for ever.

The limit of 1 s now applies to the start of the response and to each pause within it, 30 s to the whole.

Evidence: a_revision_that_takes_long_to_transfer_arrives failed before ("revision 1 is not in force after 20000 ms").

--- a/crates/client/src/control_client.rs
+++ b/crates/client/src/control_client.rs
@@ -8,18 +8,13 @@
 use http::Method;
 use http::Request;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 
 use crate::ClientError;
-
-/// Maximum size of a response body, in bytes. It limits how much memory a faulty peer can make the
-/// client allocate.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+use crate::OpenResponse;
 
 /// Maximum time for which an idle connection is kept, in ms. A connection whose state was lost on the
 /// network path stays silent until a request times out, so a connection is reused only if it has
@@ -58,7 +53,7 @@
         Self { http, bearer_token, timeout: Duration::from_millis(timeout_ms) }
     }
 
-    /// Sends a request to one node.
+    /// Sends a request to one node and reads the response, within the time limit.
     ///
     /// # Errors
     /// The request failed; [`ClientError::is_unsent`] states whether the peer may have received it.
@@ -69,6 +64,24 @@
         path: &str,
         body: Bytes,
     ) -> Result<ApiResponse, Report<ClientError>> {
+        let exchange = async { self.open(peer, method, path, body).await?.read().await };
+        tokio::time::timeout(self.timeout, exchange)
+            .await
+            .map_err(|_| Report::new(ClientError::NoResponse(peer)))?
+    }
+
+    /// Sends a request to one node and waits for the start of the response, within the time limit.
+    /// For responses that may take longer to transfer.
+    ///
+    /// # Errors
+    /// As for [`ControlClient::send`].
+    pub async fn open(
+        &self,
+        peer: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<OpenResponse, Report<ClientError>> {
         let mut request = Request::builder().method(method).uri(format!("http://{peer}{path}"));
         if let Some(bearer_token) = &self.bearer_token {
             request = request.header(AUTHORIZATION, format!("Bearer {bearer_token}"));
@@ -76,30 +89,14 @@
         let request = request
             .body(Full::new(body))
             .map_err(|e| Report::new(ClientError::BadRequest(e.to_string())))?;
-        tokio::time::timeout(self.timeout, self.exchange(peer, request))
-            .await
-            .map_err(|_| Report::new(ClientError::NoResponse(peer)))?
-    }
-
-    async fn exchange(
-        &self,
-        peer: SocketAddr,
-        request: Request<Full<Bytes>>,
-    ) -> Result<ApiResponse, Report<ClientError>> {
-        let response = match self.http.request(request).await {
-            Ok(response) => response,
-            Err(e) if e.is_connect() => {
-                return Err(Report::new(e).change_context(ClientError::Connect(peer)))
+        match tokio::time::timeout(self.timeout, self.http.request(request)).await {
+            Ok(Ok(response)) => Ok(OpenResponse::new(peer, response, self.timeout)),
+            Ok(Err(e)) if e.is_connect() => {
+                Err(Report::new(e).change_context(ClientError::Connect(peer)))
             }
-            Err(e) => return Err(Report::new(e).change_context(ClientError::NoResponse(peer))),
-        };
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-            .collect()
-            .await
-            .map_err(|e| Report::new(ClientError::ResponseTooLarge(peer)).attach(e.to_string()))?
-            .to_bytes();
-        Ok(ApiResponse { peer, status, body })
+            Ok(Err(e)) => Err(Report::new(e).change_context(ClientError::NoResponse(peer))),
+            Err(_) => Err(Report::new(ClientError::NoResponse(peer))),
+        }
     }
 
     /// Sends a request to the nodes in order until one responds without a server error. If all
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -5,7 +5,9 @@
 
 mod client_error;
 mod control_client;
+mod open_response;
 
 pub use client_error::ClientError;
 pub use control_client::ApiResponse;
 pub use control_client::ControlClient;
+pub use open_response::OpenResponse;
--- a/crates/control/src/catalogue/follower.rs
+++ b/crates/control/src/catalogue/follower.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use error_stack::Report;
 use http::Method;
+use tarragon_client::ClientError;
 use tarragon_client::ControlClient;
 use tarragon_kernel::Kernel;
 use tarragon_kernel::KernelError;
@@ -25,10 +26,14 @@
 use crate::catalogue::CatalogueSources;
 use crate::control::ControlLog;
 use crate::hedging::first_success;
+use crate::hedging::ArrivingResponses;
 
-/// Time limit for fetching changes from one node, in ms.
+/// Time limit for the start of a response with changes, and for each part of it, in ms.
 const FETCH_TIMEOUT_MS: u64 = 1_000;
 
+/// Time limit for a whole response with changes, in ms. Ten MB arrive in it over a link of 3 Mbit/s.
+const TRANSFER_TIMEOUT_MS: u64 = 30_000;
+
 /// Delay before the next round if no source had the highest known revision, in ms.
 const RETRY_PAUSE_MS: u64 = 200;
 
@@ -78,7 +83,9 @@
             let sources = self.dependencies.sources.addresses(revision, salt);
             sources.into_iter().find(|source| queried.insert(*source))
         };
-        let fetched = first_success(next_source, |source| self.fetch(source, revision));
+        let arriving = ArrivingResponses::default();
+        let fetch = |source| self.fetch(source, revision, &arriving);
+        let fetched = first_success(next_source, &arriving, fetch);
         let failures = match fetched.await {
             Ok((source, changes)) if self.apply(&changes) => {
                 let elapsed_ms = elapsed_ms(started);
@@ -107,11 +114,19 @@
         &self,
         source: SocketAddr,
         revision: u64,
+        arriving: &ArrivingResponses,
     ) -> Result<(SocketAddr, CatalogueChanges), String> {
         let failure = |cause: String| format!("{source}: {cause}");
         let path = format!("/v1/catalogue?since={revision}");
-        let response = self.client.send(source, Method::GET, &path, Bytes::new()).await;
-        let response = response.map_err(|report| failure(report.current_context().to_string()))?;
+        let client_failure =
+            |report: Report<ClientError>| failure(report.current_context().to_string());
+        let opened = self.client.open(source, Method::GET, &path, Bytes::new()).await;
+        let opened = opened.map_err(client_failure)?;
+        let _arriving = arriving.begin();
+        let reading =
+            tokio::time::timeout(Duration::from_millis(TRANSFER_TIMEOUT_MS), opened.read());
+        let response = reading.await.map_err(|_| failure("the transfer takes too long".into()))?;
+        let response = response.map_err(client_failure)?;
         if !response.status.is_success() {
             return Err(failure(format!("HTTP status {}", response.status)));
         }
--- a/crates/control/src/control/remote_log.rs
+++ b/crates/control/src/control/remote_log.rs
@@ -22,6 +22,7 @@
 use crate::control::ControlRequest;
 use crate::control::ControlResult;
 use crate::hedging::first_success;
+use crate::hedging::ArrivingResponses;
 use crate::replica::ReplicaAddresses;
 
 /// Path of control requests between nodes.
@@ -65,7 +66,9 @@
                 result => Ok(result),
             }
         };
-        match first_success(|| lock().pop_front(), try_next).await {
+        // Responses of the log are small, so none is on its way for long.
+        let arriving = ArrivingResponses::default();
+        match first_success(|| lock().pop_front(), &arriving, try_next).await {
             Ok(result) => result,
             Err(failures) if failures.contains(&ControlFailure::OutcomeUnknown) => {
                 Err(ControlFailure::OutcomeUnknown)
--- a/crates/control/tests/control/catalogue_follower.rs
+++ b/crates/control/tests/control/catalogue_follower.rs
@@ -25,9 +25,16 @@
 /// Time in which an accepted configuration is in force everywhere, in ms.
 const CONVERGENCE_TIMEOUT_MS: u64 = 2_000;
 
+/// Time limit of the follower for the start of a response, in ms.
+const FETCH_TIMEOUT_MS: u64 = 1_000;
+
 /// Time after which a test gives up waiting for a revision, in ms.
 const WAIT_LIMIT_MS: u64 = 20_000;
 
+/// Pause between the bytes of a slow response, in ms; the whole takes longer than the time limit
+/// for the start of a response.
+const SLOW_BYTE_MS: u64 = 100;
+
 const DATA_CENTRE: &str = "a";
 
 /// Encodes changes without content up to the current revision.
@@ -128,3 +135,12 @@
     let elapsed_ms = harness.announce_next_revision(&[0, 1, 2, 3]).await;
     assert!(elapsed_ms < CONVERGENCE_TIMEOUT_MS, "{elapsed_ms} ms");
 }
+
+/// Guards against a node that never gets a large revision over a narrow link.
+#[tokio::test]
+async fn a_revision_that_takes_long_to_transfer_arrives() {
+    let mut harness = Harness::start(&[DATA_CENTRE]).await;
+    harness.members[0].pause_between_bytes(SLOW_BYTE_MS);
+    let elapsed_ms = harness.announce_next_revision(&[0]).await;
+    assert!(elapsed_ms > FETCH_TIMEOUT_MS, "{elapsed_ms} ms");
+}
