Look up the opener of a relayed connection on another thread

Logs show requests of 2 s to 4.7 s on all nodes before the first stop, and late announcements, which pass no relay. The relays read the table of all connections of the machine for each new connection, on the thread that carries all links, and fell behind; clients give up after 4 s. Ruled out: processors that were not to be had (sleeping processes were never late by more than 0.3 s in the same minutes).

No check and no bound is changed.

--- a/crates/tarragond/tests/processes/support/daemon.rs
+++ b/crates/tarragond/tests/processes/support/daemon.rs
@@ -89,13 +89,38 @@
     }
 }
 
+/// Describes the threads of a process: name, state and where it waits in the kernel. It tells a process
+/// that is stopped from one that waits and one that runs without end.
+fn describe_threads(process_id: u32) -> String {
+    let Ok(threads) = std::fs::read_dir(format!("/proc/{process_id}/task")) else {
+        return "no process".into();
+    };
+    let describe = |folder: PathBuf| {
+        let read = |file: &str| std::fs::read_to_string(folder.join(file)).unwrap_or_default();
+        let status = read("status");
+        let state = status.lines().find(|line| line.starts_with("State")).unwrap_or_default();
+        format!(
+            "{}: {state}, {}, run time {}",
+            read("comm").trim(),
+            read("wchan"),
+            read("schedstat")
+        )
+    };
+    threads.flatten().map(|thread| describe(thread.path())).collect()
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
+        let threads = match &self.child {
+            Some(child) if std::thread::panicking() => describe_threads(child.id()),
+            _ => String::new(),
+        };
         self.kill();
         if std::thread::panicking() {
             let log = self.read_log();
             let lines: Vec<&str> = log.lines().collect();
             let last_lines = lines[lines.len().saturating_sub(PRINTED_LOG_LINES)..].join("\n");
+            eprintln!("== threads of {}\n{threads}", self.name);
             eprintln!("== log of {}\n{last_lines}", self.name);
         }
     }
--- a/crates/tarragond/tests/processes/support/network.rs
+++ b/crates/tarragond/tests/processes/support/network.rs
@@ -146,12 +146,9 @@
     /// have the same source IP address, so the process is looked up in `/proc`.
     fn find_sender(&self, from: SocketAddr, to: SocketAddr) -> Option<String> {
         let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-        let (from, to) = (format_table_address(from), format_table_address(to));
-        let rows = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
-        let socket = rows
-            .filter(|fields| fields.len() > 9)
-            .find(|fields| fields[1] == from && fields[2] == to)
-            .map(|fields| format!("socket:[{}]", fields[9]))?;
+        let addresses = format!(" {} {} ", format_table_address(from), format_table_address(to));
+        let row = table.lines().find(|line| line.contains(&addresses))?;
+        let socket = format!("socket:[{}]", row.split_whitespace().nth(9)?);
         let pids = self.pids.lock().unwrap();
         pids.iter().find(|(_, pid)| has_open_file(**pid, &socket)).map(|(name, _)| name.clone())
     }
@@ -191,9 +188,17 @@
     let mut streams = JoinSet::new();
     let relay_address = listener.local_addr().unwrap();
     while let Ok((stream, from)) = listener.accept().await {
-        // If the process has exited or closed the connection, the connection is dropped.
-        let Some(sender) = shared.find_sender(from, relay_address) else { continue };
-        streams.spawn(relay_stream(Arc::clone(&shared), stream, (sender, name.clone()), to));
+        let (shared, name) = (Arc::clone(&shared), name.clone());
+        streams.spawn(async move {
+            // The table has a row for each connection of the machine. Reading it here would delay all
+            // links, as they share this thread.
+            let network = Arc::clone(&shared);
+            let find_sender = move || network.find_sender(from, relay_address);
+            let found = tokio::task::spawn_blocking(find_sender).await;
+            // If the process has exited or closed the connection, the connection is dropped.
+            let Some(sender) = found.expect("the lookup does not panic") else { return };
+            relay_stream(shared, stream, (sender, name), to).await;
+        });
     }
 }
 
