Add failing tests of silent connections to the own backend server

What callers see: after the network has lost track of open connections, requests wait for their deadline and end as 502 or 504, though new connections work.

The tests make real connections silent: a packet filter on the server's sockets drops what arrives, so nothing is acknowledged.

--- a/crates/datapath/tests/datapath/main.rs
+++ b/crates/datapath/tests/datapath/main.rs
@@ -15,5 +15,6 @@
 mod notices;
 mod peers;
 mod routed;
+mod silent_connections;
 mod support;
 mod unresponsive;
--- /dev/null
+++ b/crates/datapath/tests/datapath/silent_connections.rs
@@ -0,0 +1,178 @@
+//! Connections to a backend server that go silent without a reset, while new ones work.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use socket2::SockFilter;
+use socket2::SockRef;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::routed::configured_cluster;
+use crate::routed::send;
+use crate::routed::wait_until_routed;
+use crate::support::Cluster;
+use crate::support::Node;
+use crate::support::Reply;
+
+/// Requests that run at the same time before the connections go silent, each on its own connection.
+const CONNECTION_COUNT: usize = 5;
+
+/// Bound of the time to a final answer. The requests of these tests may take 20 s.
+const ANSWER_BOUND: Duration = Duration::from_secs(3);
+
+/// Run time that is longer than any time after which a silent connection is given up.
+const LONG_RUN: Duration = Duration::from_secs(4);
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 7\r\n\r\nweighed";
+
+/// Instruction of a packet filter that returns the number of bytes to keep.
+const RETURN_CONSTANT: u16 = 0x06;
+
+struct OpenConnection {
+    /// Duplicate of the socket.
+    socket: std::net::TcpStream,
+    is_silent: Arc<AtomicBool>,
+}
+
+/// Backend server whose connections can go silent, as if a middlebox had forgotten them.
+struct SilenceableServer {
+    address: SocketAddr,
+    connections: Arc<Mutex<Vec<OpenConnection>>>,
+    run_count: Arc<AtomicUsize>,
+}
+
+impl SilenceableServer {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server = Self {
+            address: listener.local_addr().unwrap(),
+            connections: Arc::default(),
+            run_count: Arc::default(),
+        };
+        let connections = Arc::clone(&server.connections);
+        let run_count = Arc::clone(&server.run_count);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let stream = stream.into_std().unwrap();
+                let is_silent: Arc<AtomicBool> = Arc::default();
+                connections.lock().unwrap().push(OpenConnection {
+                    socket: stream.try_clone().unwrap(),
+                    is_silent: Arc::clone(&is_silent),
+                });
+                let stream = TcpStream::from_std(stream).unwrap();
+                tokio::spawn(serve(stream, is_silent, Arc::clone(&run_count)));
+            }
+        });
+        server
+    }
+
+    /// Drops all packets that arrive on the open connections, whose senders get no acknowledgement, and
+    /// all answers on them.
+    fn silence(&self) {
+        let drop_all = [SockFilter::new(RETURN_CONSTANT, 0, 0, 0)];
+        for connection in self.connections.lock().unwrap().iter() {
+            connection.is_silent.store(true, Ordering::SeqCst);
+            SockRef::from(&connection.socket).attach_filter(&drop_all).unwrap();
+        }
+    }
+
+    fn runs(&self) -> usize {
+        self.run_count.load(Ordering::SeqCst)
+    }
+}
+
+/// Answers each request after a while, long ones after [`LONG_RUN`].
+async fn serve(mut stream: TcpStream, is_silent: Arc<AtomicBool>, run_count: Arc<AtomicUsize>) {
+    let mut received = Vec::new();
+    while stream.read_buf(&mut received).await.unwrap_or(0) > 0 {
+        if !received.windows(9).any(|window| window == b"\r\n\r\n12 kg") {
+            continue;
+        }
+        run_count.fetch_add(1, Ordering::SeqCst);
+        let is_long = received.windows(5).any(|window| window == b"/long");
+        received.clear();
+        tokio::time::sleep(if is_long { LONG_RUN } else { Duration::from_millis(50) }).await;
+        let is_silent = is_silent.load(Ordering::SeqCst);
+        if !is_silent && stream.write_all(ANSWER).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Starts a node that has several idle connections to its backend server, and one with another
+/// server of the same service.
+async fn start_nodes() -> (Cluster, Node, SilenceableServer, Node, SilenceableServer) {
+    let (server, other) = (SilenceableServer::start().await, SilenceableServer::start().await);
+    let cluster = configured_cluster();
+    let node = cluster.start_node("first", Some(server.address)).await;
+    wait_until_routed(&node).await;
+    for reply in join_all((0..CONNECTION_COUNT).map(|_| send(&node, "/one/7"))).await {
+        assert_eq!(reply.status.as_u16(), 200);
+    }
+    let other_node = cluster.start_node("second", Some(other.address)).await;
+    (cluster, node, server, other_node, other)
+}
+
+async fn send_within_bound(node: &Node, path: &str) -> Reply {
+    tokio::time::timeout(ANSWER_BOUND, send(node, path))
+        .await
+        .expect("the request ends long before its deadline")
+}
+
+/// Guards against requests that wait for their deadline on connections that lead nowhere.
+#[tokio::test]
+async fn an_idempotent_request_on_a_silent_connection_is_answered_soon() {
+    let (_cluster, node, server, _other_node, _other) = start_nodes().await;
+    server.silence();
+    for reply in join_all((0..CONNECTION_COUNT).map(|_| send_within_bound(&node, "/two/7"))).await {
+        assert_eq!((reply.status.as_u16(), reply.reason()), (200, ""));
+    }
+}
+
+/// Guards against a second run of a request of which it is not known whether it ran.
+#[tokio::test]
+async fn a_request_that_may_run_once_ends_as_unknown_on_a_silent_connection() {
+    let (_cluster, node, server, _other_node, other) = start_nodes().await;
+    server.silence();
+    let reply = send_within_bound(&node, "/once/7").await;
+    assert_eq!((reply.status.as_u16(), reply.reason()), (502, "connection-lost"));
+    assert_eq!(other.runs(), 0);
+    let reply = send_within_bound(&node, "/once/7").await;
+    assert_eq!(reply.status.as_u16(), 200, "the other idle connections are not used");
+}
+
+/// Guards against requests that wait for an answer which cannot arrive any more.
+#[tokio::test]
+async fn a_run_whose_connection_goes_silent_is_repeated_elsewhere() {
+    let (_cluster, node, server, _other_node, other) = start_nodes().await;
+    let runs_before = server.runs();
+    let silence_during_run = async {
+        while server.runs() == runs_before {
+            tokio::task::yield_now().await;
+        }
+        server.silence();
+    };
+    let (reply, ()) = tokio::join!(send_within_bound(&node, "/two/7"), silence_during_run);
+    assert_eq!((reply.status.as_u16(), reply.reason()), (200, ""));
+    assert_eq!((server.runs(), other.runs()), (runs_before + 1, 1));
+}
+
+/// Guards against giving up a run only because it takes long.
+#[tokio::test]
+async fn a_long_run_on_a_working_connection_is_waited_for() {
+    let (_cluster, node, server, _other_node, other) = start_nodes().await;
+    let runs_before = server.runs();
+    for path in ["/two/long", "/once/long"] {
+        assert_eq!(send(&node, path).await.status.as_u16(), 200, "{path}");
+    }
+    assert_eq!((server.runs(), other.runs()), (runs_before + 2, 0));
+}
