Give up a connection to the own backend server that acknowledges nothing

What callers see: after the network has lost track of the connections between a node and its backend server, requests wait for their deadline on every one of them, although new connections work; the connections were closed only after the first deadline.

The operating system now closes such a connection: after 500 ms if it does not acknowledge a small request, after two unanswered probes otherwise. The other idle connections are closed with it. Requests with large bodies have connections of their own without the 500 ms, because a server that reads slowly acknowledges late.

--- a/crates/datapath/src/gate/backend_pool.rs
+++ b/crates/datapath/src/gate/backend_pool.rs
@@ -20,6 +20,8 @@
 
 use crate::gate::backend_stream::BackendStream;
 use crate::gate::backend_stream::ResponseByteCounter;
+use crate::gate::silence_detection;
+use crate::gate::silence_detection::BodySize;
 use crate::transport::Body;
 use crate::transport::CallFailure;
 
@@ -27,6 +29,8 @@
     sender: SendRequest<Body>,
     byte_counter: Arc<ResponseByteCounter>,
     address: SocketAddr,
+    /// Size of the request bodies that the connection is used for.
+    body_size: BodySize,
     idle_since: Instant,
     /// Closes the socket immediately when it is dropped, also in the middle of an upload.
     _close: DropGuard,
@@ -63,7 +67,7 @@
         Self { idle: Mutex::default(), permits, capacity, max_idle_time, connect_timeout, tracker }
     }
 
-    /// Takes an idle connection or opens a new one.
+    /// Takes an idle connection for requests of this size or opens a new one.
     ///
     /// # Errors
     /// `Late` if no connection becomes free before the deadline, `NoServer` if the connection
@@ -71,29 +75,32 @@
     pub(crate) async fn checkout(
         self: &Arc<Self>,
         address: SocketAddr,
+        body_size: BodySize,
         deadline: Instant,
     ) -> Result<ConnectionLease, CallFailure> {
         let permit = Arc::clone(&self.permits).acquire_owned();
         let permit = tokio::time::timeout_at(deadline.into(), permit).await;
         let permit = permit.map_err(|_| Reason::Late)?.expect("the semaphore is never closed");
-        let connection = match self.take_idle(address) {
+        let connection = match self.take_idle(address, body_size) {
             Some(connection) => connection,
-            None => self.connect(address, deadline).await?,
+            None => self.connect(address, body_size, deadline).await?,
         };
         let pool = Arc::clone(self);
         Ok(ConnectionLease { connection: Some(connection), pool, _permit: permit })
     }
 
-    /// Takes the most recently used idle connection. Drops connections that are closed, have been
+    /// Takes the most recently used idle connection for requests of this size. Drops connections that are closed, have been
     /// idle for too long or lead to another address.
-    fn take_idle(&self, address: SocketAddr) -> Option<PooledConnection> {
+    fn take_idle(&self, address: SocketAddr, body_size: BodySize) -> Option<PooledConnection> {
         let mut idle = self.idle.lock().expect("no thread panics while it holds the lock");
         idle.retain(|connection| {
             connection.address == address
                 && !connection.sender.is_closed()
                 && connection.idle_since.elapsed() < self.max_idle_time
         });
-        let index = idle.iter().rposition(|connection| connection.sender.is_ready());
+        let index = idle.iter().rposition(|connection| {
+            connection.body_size == body_size && connection.sender.is_ready()
+        });
         if let Some(index) = index {
             return Some(idle.remove(index));
         }
@@ -109,6 +116,7 @@
     async fn connect(
         &self,
         address: SocketAddr,
+        body_size: BodySize,
         deadline: Instant,
     ) -> Result<PooledConnection, CallFailure> {
         let limit = deadline.min(Instant::now() + self.connect_timeout);
@@ -122,6 +130,9 @@
             Err(_) => return Err(Reason::NoServer.into()),
         };
         let _ = stream.set_nodelay(true);
+        if let Err(e) = silence_detection::enable(&stream, body_size) {
+            debug!("gate: a silent connection to {address} will be found at a deadline only: {e}");
+        }
         let byte_counter = Arc::new(ResponseByteCounter::default());
         let io = BackendStream::new(stream, Arc::clone(&byte_counter));
         let (sender, connection) =
@@ -141,6 +152,7 @@
             sender,
             byte_counter,
             address,
+            body_size,
             idle_since,
             _close: close.drop_guard(),
         })
@@ -171,6 +183,10 @@
                 None => {
                     let e = e.into_error();
                     debug!("gate: the backend server sent no valid response: {e}");
+                    if silence_detection::is_cause_of(&e) {
+                        // The network has probably lost track of the other connections as well.
+                        self.pool.close_idle();
+                    }
                     let is_malformed = e.is_parse() || e.is_parse_too_large();
                     let reason =
                         if is_malformed { Reason::BadAnswer } else { Reason::ConnectionLost };
--- a/crates/datapath/src/gate/mod.rs
+++ b/crates/datapath/src/gate/mod.rs
@@ -18,6 +18,7 @@
 mod response_body;
 mod retry_token_guard;
 mod server_notices;
+mod silence_detection;
 mod spans;
 
 pub use attempts::AttemptKey;
--- a/crates/datapath/src/gate/request_gate.rs
+++ b/crates/datapath/src/gate/request_gate.rs
@@ -49,6 +49,7 @@
 use crate::gate::response_body::UploadBody;
 use crate::gate::retry_token_guard::RetryTokenGuard;
 use crate::gate::server_notices::ServerNotices;
+use crate::gate::silence_detection::BodySize;
 use crate::gate::spans::ActiveSpans;
 use crate::gate::spans::SpanGuard;
 use crate::gate::AttemptKey;
@@ -289,10 +290,11 @@
         let started_at_ms = self.status.borrow().started_at_ms;
         let request_tag = self.interface.correlation_tag(call.request.headers());
         let (mut request, is_upload_done) = self.backend_request(call, span.id(), address);
+        let body_size = BodySize::of(request.body());
         let _run = self.crash_detector.start_run(fingerprint)?;
         let mut is_started = false;
         for _ in 0..MAX_CONNECTION_ATTEMPTS {
-            let mut lease = self.pool.checkout(address, deadline).await?;
+            let mut lease = self.pool.checkout(address, body_size, deadline).await?;
             if !is_started {
                 self.record_attempt_start(attempt, deadline)?;
                 span.set_running();
