Add failing tests of silent connections between nodes

What callers see: after all connections have gone silent, calls to other nodes fail for 1.5 s, though new connections work at once.

Both tests fail on this code: no answer within 3 s, and connection-lost for a request that never arrived and has one attempt. The third new test, of a node that was only paused, passes and must stay so.

--- a/crates/datapath/tests/datapath/lost.rs
+++ b/crates/datapath/tests/datapath/lost.rs
@@ -33,7 +33,7 @@
 }
 
 /// Node that other nodes reach through a relay.
-async fn node_behind_relay(cluster: &Cluster, backend: &FakeBackend) -> (Node, Relay) {
+pub async fn node_behind_relay(cluster: &Cluster, backend: &FakeBackend) -> (Node, Relay) {
     let (relay, forward) = Relay::bind();
     let address = relay.address;
     let forward = std::sync::Mutex::new(Some(forward));
--- a/crates/datapath/tests/datapath/routed.rs
+++ b/crates/datapath/tests/datapath/routed.rs
@@ -84,7 +84,7 @@
 }
 
 /// Backend server that echoes the request id.
-async fn start_answering_backend() -> FakeBackend {
+pub async fn start_answering_backend() -> FakeBackend {
     FakeBackend::start(|request| async move {
         let mut response = text_response("weighed");
         let id = request.headers().get("x-id").cloned();
--- a/crates/datapath/tests/datapath/silent_connections.rs
+++ b/crates/datapath/tests/datapath/silent_connections.rs
@@ -1,4 +1,5 @@
-//! Connections to a backend server that go silent without a reset, while new ones work.
+//! Connections to a backend server or to another node that go silent without a reset, while new ones
+//! work.
 
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
@@ -16,11 +17,18 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use crate::calls;
+use crate::lost::node_behind_relay;
 use crate::routed::configured_cluster;
 use crate::routed::send;
+use crate::routed::start_answering_backend;
 use crate::routed::wait_until_routed;
+use crate::support::request;
+use crate::support::text_response;
 use crate::support::Cluster;
+use crate::support::FakeBackend;
 use crate::support::Node;
+use crate::support::Relay;
 use crate::support::Reply;
 
 /// Requests that run at the same time before the connections go silent, each on its own connection.
@@ -176,3 +184,74 @@
     }
     assert_eq!((server.runs(), other.runs()), (runs_before + 2, 0));
 }
+
+/// Starts a node behind a relay, and an entry whose heartbeats to it are late after 100 ms and given up
+/// after 10 min.
+async fn start_entry_and_relay(
+    mut cluster: Cluster,
+    backend: &FakeBackend,
+) -> (Cluster, Node, Relay, Node) {
+    cluster.settings.heartbeat_interval_ms = 50;
+    cluster.settings.suspect_after_ms = 100;
+    cluster.settings.heartbeat_timeout_ms = 600_000;
+    let (owner, relay) = node_behind_relay(&cluster, backend).await;
+    let entry = cluster.start_node("entry", None).await;
+    wait_until_routed(&entry).await;
+    (cluster, owner, relay, entry)
+}
+
+/// Guards against calls that wait for the heartbeat timeout of a silent connection, although a new
+/// connection to the same node works.
+#[tokio::test]
+async fn calls_on_a_silent_connection_to_a_node_go_on_over_a_new_one() {
+    for method in ["GET", "POST"] {
+        let backend = FakeBackend::start(|_| async { text_response("weighed") }).await;
+        let (_cluster, _owner, relay, entry) =
+            start_entry_and_relay(Cluster::new(), &backend).await;
+        calls::wait_until_answered(&entry).await;
+        let before = backend.count();
+        relay.freeze_connections();
+        let sending = request(entry.caller, method, "/weigh", &[], "12 kg");
+        let reply = tokio::time::timeout(ANSWER_BOUND, sending).await;
+        let reply = reply.expect("the request ends long before its deadline");
+        assert_eq!((reply.outcome(), reply.text().as_str()), ("answered", "weighed"), "{method}");
+        assert_eq!(backend.count(), before + 1, "{method}");
+    }
+}
+
+/// Guards against a request that fails for lack of attempts or retries, although the new connection
+/// tells that it has never arrived.
+#[tokio::test]
+async fn a_call_that_did_not_arrive_on_a_silent_connection_costs_no_attempt() {
+    let backend = start_answering_backend().await;
+    let (_cluster, _owner, relay, entry) =
+        start_entry_and_relay(configured_cluster(), &backend).await;
+    assert_eq!(send(&entry, "/one/7").await.status.as_u16(), 200);
+    let before = backend.count();
+    relay.freeze_connections();
+    let reply = send_within_bound(&entry, "/one/7").await;
+    assert_eq!((reply.status.as_u16(), reply.reason()), (200, ""));
+    assert_eq!(backend.count(), before + 1);
+}
+
+/// Guards against giving up calls at a node that is paused, because it answers on a new connection as
+/// soon as it goes on.
+#[tokio::test]
+async fn a_node_that_was_paused_keeps_its_connection() {
+    let backend = FakeBackend::start(|_| async { text_response("weighed") }).await;
+    let (_cluster, _owner, relay, entry) = start_entry_and_relay(Cluster::new(), &backend).await;
+    calls::wait_until_answered(&entry).await;
+    let before = backend.count();
+    relay.set_paused(true);
+    let pause = async {
+        while entry.metrics.read("route.suspected") == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        relay.set_paused(false);
+    };
+    let (reply, ()) = tokio::join!(request(entry.caller, "GET", "/", &[], ""), pause);
+    assert_eq!((reply.outcome(), reply.text().as_str()), ("answered", "weighed"));
+    assert_eq!(backend.count(), before + 1);
+    assert_eq!(entry.metrics.read("route.connection_replaced"), 0);
+}
