Replace a silent connection to a node as soon as a new one answers

What callers see: after connections between nodes have gone silent, calls on them fail for 1.5 s. Other servers are preferred once a heartbeat is late (300 ms), but if all connections are silent there is none to prefer.

A late heartbeat now makes the node open a second connection. If the peer answers on it and 100 ms later still not on the first, the first has lost its path and the second takes its place. A peer that was paused answers on both, first on the older one, and keeps its connection. Not for connections of long work, on which heartbeats may be late behind large bodies; at most one attempt in 2 s.

Changed check: other_servers_are_preferred_while_a_peer_is_late made the peer late by silencing its open connections only. Such a peer is reached over a new connection now, so the relay of the test holds back all connections instead: it is late on each of them, the rest of the check is the same.

--- a/crates/datapath/src/gate/silence_detection.rs
+++ b/crates/datapath/src/gate/silence_detection.rs
@@ -48,7 +48,7 @@
 }
 
 /// Closes a connection of which the network has lost track, although neither end has. Without this, a
-/// request on it waits for its deadline. See docs/incidents/2026-12-05-silent-server-connections.md.
+/// request on it waits for its deadline. See docs/incidents/2026-12-05-silent-connections.md.
 ///
 /// # Errors
 /// The operating system refuses a socket option.
--- a/crates/datapath/src/peer/managed_connection.rs
+++ b/crates/datapath/src/peer/managed_connection.rs
@@ -2,13 +2,14 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
 use tarragon_policy::admission::AdmissionAdvice;
+use tarragon_policy::admission::WorkClass;
 use tarragon_policy::routing::PeerState;
 use tokio::sync::watch;
-use tokio::time::error::Elapsed;
 use tracing::debug;
 use tracing::info;
 
@@ -19,6 +20,14 @@
 /// Longest wait between two attempts to connect to an unreachable peer.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 
+/// Time that a late connection gets to answer after a new one to the same peer has answered. A peer
+/// that was paused answers on both, first on the older one.
+const OVERTAKEN_GRACE: Duration = Duration::from_millis(100);
+
+/// Minimum time between two attempts to replace a connection that is late, so that overloaded peers
+/// are not burdened with connections as well.
+const MIN_REPLACEMENT_INTERVAL: Duration = Duration::from_secs(2);
+
 #[derive(Clone)]
 enum ConnectionStatus {
     /// There is no connection and no task.
@@ -40,18 +49,38 @@
     /// The connection failed or could not be opened. It is opened again, unless the peer is removed
     /// or the node stops in the meantime.
     Failed,
+    /// The connection has lost its path. The new one has answered.
+    Replaced(Arc<PeerConnection>),
+}
+
+/// How a heartbeat ended.
+enum HeartbeatEnd {
+    Answered(AdmissionAdvice),
+    Failed(String),
+    /// There was no response within the heartbeat timeout.
+    Unanswered,
+    /// A new connection answered while this one did not.
+    Overtaken(Arc<PeerConnection>),
 }
 
 /// Keeps one connection to a peer open while it is used, checks it with heartbeats and replaces it
 /// when it fails.
 pub(crate) struct ManagedConnection {
+    class: WorkClass,
     status: watch::Sender<ConnectionStatus>,
     last_used_us: AtomicU64,
+    last_replacement: Mutex<Option<Instant>>,
 }
 
 impl ManagedConnection {
-    pub(crate) fn new() -> Self {
-        Self { status: watch::Sender::new(ConnectionStatus::Idle), last_used_us: AtomicU64::new(0) }
+    /// Creates a connection for requests of a class; it is opened when it is first used.
+    pub(crate) fn new(class: WorkClass) -> Self {
+        Self {
+            class,
+            status: watch::Sender::new(ConnectionStatus::Idle),
+            last_used_us: AtomicU64::new(0),
+            last_replacement: Mutex::default(),
+        }
     }
 
     /// Returns the connection and opens it if there is none. Returns `None` if the peer cannot be
@@ -97,14 +126,23 @@
     /// or the node stops.
     async fn run(self: Arc<Self>, peer: Arc<Peer>, shared: Arc<PeerShared>) {
         let mut backoff = Duration::from_millis(shared.settings.reconnect_interval_ms);
+        let mut replacement = None;
         loop {
             let last_connect = tokio::time::Instant::now();
-            let end_reason = match self.connect(&peer, &shared).await {
+            let connected = match replacement.take() {
+                Some(connection) => Ok(connection),
+                None => self.connect(&peer, &shared).await,
+            };
+            let end_reason = match connected {
                 Ok(connection) => {
                     shared.set_state(peer.instance, PeerState::Proven);
                     self.status.send_replace(ConnectionStatus::Connected(Arc::clone(&connection)));
                     backoff = Duration::from_millis(shared.settings.reconnect_interval_ms);
                     let end_reason = self.monitor(&connection, &peer, &shared).await;
+                    if let EndReason::Replaced(next) = &end_reason {
+                        // Before calls on the old connection are given up, as some are sent again.
+                        self.status.send_replace(ConnectionStatus::Connected(Arc::clone(next)));
+                    }
                     connection.silent.cancel();
                     end_reason
                 }
@@ -126,6 +164,16 @@
                     self.status.send_replace(ConnectionStatus::Idle);
                     return;
                 }
+                EndReason::Replaced(connection) => {
+                    info!(
+                        peer = %peer.instance,
+                        address = %peer.address,
+                        "route: connection is silent and was replaced, as a new one works"
+                    );
+                    shared.metrics.count("route.connection_replaced", 1);
+                    replacement = Some(connection);
+                    continue;
+                }
                 EndReason::Failed => {}
             }
             let is_unreachable = matches!(*self.status.borrow(), ConnectionStatus::Unreachable);
@@ -208,52 +256,93 @@
                 result = self.heartbeat(connection, peer, shared) => result,
             };
             match heartbeat_result {
-                Ok(Ok(advice)) => {
+                HeartbeatEnd::Answered(advice) => {
                     shared.advise(peer, &advice);
                     shared.set_state(peer.instance, PeerState::Proven);
                 }
-                Ok(Err(e)) => {
+                HeartbeatEnd::Failed(e) => {
                     debug!("route: heartbeat to {} failed: {e}", peer.instance);
                     connection.closed.cancel();
                     return EndReason::Failed;
                 }
                 // Another response on the connection shows that it works.
-                Err(_) if connection.last_response_us() > sent_us => {
+                _ if connection.last_response_us() > sent_us => {
                     shared.set_state(peer.instance, PeerState::Proven);
                 }
-                Err(_) => return EndReason::Failed,
+                HeartbeatEnd::Overtaken(replacement) => return EndReason::Replaced(replacement),
+                HeartbeatEnd::Unanswered => return EndReason::Failed,
             }
         }
     }
 
     /// Sends a heartbeat. If the response is late, other backend servers are preferred for new
-    /// calls. The connection is used until the heartbeat timeout, because idempotent calls that are
-    /// given up with it may have run.
+    /// calls, and a new connection shows whether the peer is late or only this connection. Otherwise
+    /// the connection is used until the heartbeat timeout, because idempotent calls that are given up
+    /// with it may have run.
     async fn heartbeat(
         &self,
         connection: &PeerConnection,
         peer: &Peer,
         shared: &PeerShared,
-    ) -> Result<Result<AdmissionAdvice, String>, Elapsed> {
+    ) -> HeartbeatEnd {
         let settings = &shared.settings;
         let limit = Duration::from_millis(settings.heartbeat_timeout_ms);
         let sent_us = shared.clock.now_us();
-        let mut heartbeat =
-            pin!(tokio::time::timeout(limit, connection.heartbeat(&shared.auth, &shared.crashes)));
+        let heartbeat = async {
+            let response = connection.heartbeat(&shared.auth, &shared.crashes);
+            match tokio::time::timeout(limit, response).await {
+                Ok(Ok(advice)) => HeartbeatEnd::Answered(advice),
+                Ok(Err(e)) => HeartbeatEnd::Failed(e),
+                Err(_) => HeartbeatEnd::Unanswered,
+            }
+        };
+        let mut heartbeat = pin!(heartbeat);
         tokio::select! {
-            result = &mut heartbeat => return result,
+            end = &mut heartbeat => return end,
             () = tokio::time::sleep(Duration::from_millis(settings.suspect_after_ms)) => {}
         }
-        if connection.last_response_us() <= sent_us {
-            info!(
-                peer = %peer.instance,
-                address = %peer.address,
-                waited_ms = settings.suspect_after_ms,
-                "route: heartbeat response is late; preferring other backend servers"
-            );
-            shared.metrics.count("route.suspected", 1);
-            shared.set_state(peer.instance, PeerState::Suspect);
+        if connection.last_response_us() > sent_us {
+            return heartbeat.await;
+        }
+        info!(
+            peer = %peer.instance,
+            address = %peer.address,
+            waited_ms = settings.suspect_after_ms,
+            "route: heartbeat response is late; preferring other backend servers"
+        );
+        shared.metrics.count("route.suspected", 1);
+        shared.set_state(peer.instance, PeerState::Suspect);
+        if !self.may_replace() {
+            return heartbeat.await;
+        }
+        let replace = async {
+            let replacement = self.connect(peer, shared).await?;
+            tokio::time::sleep(OVERTAKEN_GRACE).await;
+            Ok::<_, String>(replacement)
+        };
+        tokio::select! {
+            biased;
+            end = &mut heartbeat => end,
+            replacement = replace => match replacement {
+                Ok(replacement) => HeartbeatEnd::Overtaken(replacement),
+                Err(e) => {
+                    debug!("route: no new connection to {} either: {e}", peer.instance);
+                    heartbeat.await
+                }
+            },
+        }
+    }
+
+    /// Whether a late connection may be replaced now. One for long work may be late only because
+    /// large bodies fill it, so its calls are not given up before the heartbeat timeout.
+    fn may_replace(&self) -> bool {
+        let mut last =
+            self.last_replacement.lock().expect("no thread panics while it holds the lock");
+        let is_due = last.is_none_or(|at| at.elapsed() >= MIN_REPLACEMENT_INTERVAL);
+        let may_replace = is_due && self.class == WorkClass::Short;
+        if may_replace {
+            *last = Some(Instant::now());
         }
-        heartbeat.await
+        may_replace
     }
 }
--- a/crates/datapath/src/peer/peer_pool.rs
+++ b/crates/datapath/src/peer/peer_pool.rs
@@ -110,8 +110,8 @@
             address: record.peer_address,
             service: Mutex::new(record.service.clone()),
             removed: CancellationToken::new(),
-            short_connection: Arc::new(ManagedConnection::new()),
-            long_connection: Arc::new(ManagedConnection::new()),
+            short_connection: Arc::new(ManagedConnection::new(WorkClass::Short)),
+            long_connection: Arc::new(ManagedConnection::new(WorkClass::Long)),
         }
     }
 
--- a/crates/datapath/tests/datapath/lost.rs
+++ b/crates/datapath/tests/datapath/lost.rs
@@ -148,7 +148,7 @@
     let (_unresponsive_node, relay) = node_behind_relay(&cluster, &unresponsive).await;
     let entry = cluster.start_node("entry", None).await;
     wait_until_answered(&entry).await;
-    relay.freeze_connections();
+    relay.set_paused(true);
     while entry.metrics.read("route.suspected") == 0 {
         tokio::time::sleep(std::time::Duration::from_millis(10)).await;
     }
