Send a request that never arrived on a silent connection again without a retry

What callers see: after a connection between nodes has gone silent, idempotent requests on it fail, because the retry ratio and the attempts of their route do not cover a burst of them. Most of them have never reached the other node.

That node is asked over the connection that replaced the silent one, as for requests that may run only once: a fenced request did not run, so sending it again costs no retry and no attempt.

Evidence: a_call_that_did_not_arrive_on_a_silent_connection_costs_no_attempt failed before (502 connection-lost).

--- a/crates/datapath/src/peer/managed_connection.rs
+++ b/crates/datapath/src/peer/managed_connection.rs
@@ -142,6 +142,7 @@
                     if let EndReason::Replaced(next) = &end_reason {
                         // Before calls on the old connection are given up, as some are sent again.
                         self.status.send_replace(ConnectionStatus::Connected(Arc::clone(next)));
+                        connection.retire();
                     }
                     connection.silent.cancel();
                     end_reason
--- a/crates/datapath/src/peer/peer_connection.rs
+++ b/crates/datapath/src/peer/peer_connection.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -42,6 +43,8 @@
     /// new call uses the connection then. Calls in flight that may run only once keep it open, since
     /// a peer that was only paused still answers them.
     pub(crate) silent: CancellationToken,
+    /// Whether a new connection to the peer answered while this one did not.
+    is_overtaken: AtomicBool,
     address: SocketAddr,
     instance: InstanceId,
     /// Time of the last response on this connection, in µs; 0 if there was none.
@@ -86,7 +89,27 @@
             task_closed.cancel();
         });
         let last_response_us = AtomicU64::new(0);
-        Ok(Self { sender, closed, silent, address, instance, last_response_us, clock })
+        let is_overtaken = AtomicBool::new(false);
+        Ok(Self {
+            sender,
+            closed,
+            silent,
+            is_overtaken,
+            address,
+            instance,
+            last_response_us,
+            clock,
+        })
+    }
+
+    /// Ends the use of the connection, because a new one to the peer answered and this one did not.
+    pub(crate) fn retire(&self) {
+        self.is_overtaken.store(true, Ordering::Relaxed);
+        self.silent.cancel();
+    }
+
+    pub(crate) fn is_overtaken(&self) -> bool {
+        self.is_overtaken.load(Ordering::Relaxed)
     }
 
     /// Records that the peer responded now.
--- a/crates/datapath/src/peer/peer_pool.rs
+++ b/crates/datapath/src/peer/peer_pool.rs
@@ -228,8 +228,14 @@
             biased;
             response = pending.wait() => response?,
             () = connection.silent.cancelled(), if !needs_recent_response => {
-                // An idempotent request runs elsewhere instead, within the retry ratio.
-                return Err(PeerCallError::ConnectionLost);
+                // An idempotent request runs elsewhere instead, within the retry ratio if it may have run.
+                let is_fenced = connection.is_overtaken()
+                    && self.fence_soon(target, class, attempt_key, deadline).await;
+                return Err(if is_fenced {
+                    PeerCallError::Fenced
+                } else {
+                    PeerCallError::ConnectionLost
+                });
             }
             () = connection.silent.cancelled() => {
                 self.wait_on_silent_connection(&mut pending, target, class, attempt_key, deadline)
@@ -369,6 +375,20 @@
         self.request_fence(target, class, attempt, deadline).await == Some(true)
     }
 
+    /// Does the same as [`Self::fence`] for an idempotent request, which can run elsewhere if the gate
+    /// does not answer soon.
+    async fn fence_soon(
+        &self,
+        target: InstanceId,
+        class: WorkClass,
+        attempt: AttemptKey,
+        deadline: Instant,
+    ) -> bool {
+        let limit = Duration::from_millis(self.shared.settings.suspect_after_ms);
+        let fencing = self.fence(target, class, attempt, deadline);
+        tokio::time::timeout(limit, fencing).await.unwrap_or(false)
+    }
+
     /// Requests a gate to fence an attempt. Returns whether the attempt is fenced, or `None` if the
     /// gate does not answer.
     async fn request_fence(
