Silence open connections in the fault soak, and time a note after that

The soak's relays stopped to forward at most, which the operating system still acknowledges, so nothing showed what daemons do on connections that the network has lost track of; and no note was timed. Both let the late configuration through.

A packet filter on the relay's sockets drops what arrives. A further note is submitted right after all connections went silent and must be in force everywhere within 10 s (G8). Neither check was shown to fail.

--- a/crates/tarragond/tests/processes/soak/mod.rs
+++ b/crates/tarragond/tests/processes/soak/mod.rs
@@ -36,6 +36,9 @@
 /// Time within which the faults of a seed start, in ms.
 const FAULTS_MS: u64 = 8_000;
 
+/// Bound of the time until an accepted note is in force everywhere; guarantee G8 of the design.
+const IN_FORCE_BOUND: Duration = Duration::from_secs(10);
+
 /// Seeds that are a multiple of this number have only planned stops.
 const PLANNED_STOPS_SEED_STEP: u64 = 4;
 
@@ -84,6 +87,7 @@
                 self.link_faults.delayed.remove(name);
             }
             FaultStep::Reset => self.network.reset_connections(name),
+            FaultStep::Silence => self.network.silence_connections(name),
         }
         self.network.set_faults(self.link_faults.clone());
     }
@@ -166,11 +170,16 @@
     })
     .await;
     let next_version = listed_ids.len() as u64 + 1;
+    if plan == FaultPlan::Faults {
+        // The note spreads while every node finds its connections silent.
+        NODES.iter().for_each(|name| soak.network.silence_connections(name));
+    }
     cluster
         .operator
         .submit_until_accepted(&cluster.nodes[0], &next_note("after the faults", next_version))
         .await;
-    cluster.wait_until_in_force(next_version).await;
+    let in_force = cluster.wait_until_in_force(next_version);
+    let is_in_force = tokio::time::timeout(IN_FORCE_BOUND, in_force).await.is_ok();
     let mut run_counts: HashMap<String, usize> = HashMap::new();
     for path in backends.iter().flat_map(FakeBackend::run_paths) {
         *run_counts.entry(path).or_default() += 1;
@@ -188,6 +197,9 @@
     );
     let mut violations = checks::request_violations(&records, &run_counts, plan);
     violations.extend(checks::note_violations(&notes, &listed_ids));
+    if !is_in_force {
+        violations.push(format!("a note was not in force everywhere after {IN_FORCE_BOUND:?}"));
+    }
     violations
 }
 
--- a/crates/tarragond/tests/processes/soak/schedule.rs
+++ b/crates/tarragond/tests/processes/soak/schedule.rs
@@ -27,6 +27,8 @@
     Heal,
     /// Resets the connections between the node and all others.
     Reset,
+    /// Silences the open connections between the node and all others for good; new ones work.
+    Silence,
 }
 
 /// Kind of the faults of a seed.
@@ -54,6 +56,13 @@
 /// Time from a planned stop to the restart of the node, in ms.
 const PLANNED_STOP_MS: u64 = 6_000;
 
+/// Upper bound of the number of nodes whose connections are silenced, once each.
+const MAX_SILENCES: u64 = 3;
+
+/// Distinguishes the random numbers of silences from those of the other faults, which stay the same
+/// for seeds that have failed before.
+const SILENCE_SEED: u64 = 0x51_1e9c;
+
 /// A step and its time. Steps are ordered by time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ScheduledStep {
@@ -105,6 +114,14 @@
         }
         now_ms += rng.random_range(MIN_GAP_MS..MAX_GAP_MS);
     }
+    if plan == FaultPlan::Faults {
+        let mut rng = Pcg32::seed_from_u64(seed ^ SILENCE_SEED);
+        for _ in 0..rng.random_range(0..=MAX_SILENCES) {
+            let (at_ms, node_index) =
+                (rng.random_range(0..faults_ms), rng.random_range(0..node_count));
+            steps.push(ScheduledStep { at_ms, node_index, step: FaultStep::Silence });
+        }
+    }
     steps.sort_unstable();
     steps
 }
--- a/crates/tarragond/tests/processes/support/network.rs
+++ b/crates/tarragond/tests/processes/support/network.rs
@@ -6,6 +6,8 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use socket2::SockFilter;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::ReadHalf;
@@ -27,8 +29,11 @@
 /// Delay of each chunk of a delayed stream.
 const STREAM_DELAY: Duration = Duration::from_millis(100);
 
-/// Capacity of the channel of resets.
-const RESET_CHANNEL_CAPACITY: usize = 16;
+/// Capacity of the channel of connection faults.
+const FAULT_CHANNEL_CAPACITY: usize = 16;
+
+/// Instruction of a packet filter that returns the number of bytes to keep.
+const RETURN_CONSTANT: u16 = 0x06;
 
 /// Relays between nodes, which can partition the network and inject other link faults.
 ///
@@ -57,10 +62,18 @@
     }
 }
 
+/// Fault of the open connections of a node; new ones work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionFault {
+    Reset,
+    /// Nothing is delivered or acknowledged any more, as if a middlebox had forgotten the connection.
+    Silence,
+}
+
 struct NetworkState {
     faults: watch::Sender<LinkFaults>,
-    /// Names of nodes whose connections are to be reset.
-    resets: broadcast::Sender<String>,
+    /// Nodes whose connections get a fault.
+    connection_faults: broadcast::Sender<(String, ConnectionFault)>,
     pids: Mutex<HashMap<String, u32>>,
     /// Name and relay socket of each node by its listen address. A datagram is forwarded from the
     /// relay socket of its sender, so that responses also pass through the relays.
@@ -81,8 +94,8 @@
             gossip_relays.insert(listen.gossip, (name.to_string(), socket));
         }
         let (faults, pids) = (watch::Sender::default(), Mutex::default());
-        let resets = broadcast::Sender::new(RESET_CHANNEL_CAPACITY);
-        let shared = Arc::new(NetworkState { faults, resets, pids, gossip_relays });
+        let connection_faults = broadcast::Sender::new(FAULT_CHANNEL_CAPACITY);
+        let shared = Arc::new(NetworkState { faults, connection_faults, pids, gossip_relays });
         let mut tasks = JoinSet::new();
         for (name, advertised, listen) in routes {
             tasks.spawn(relay_datagrams(Arc::clone(&shared), listen.gossip));
@@ -119,7 +132,13 @@
     /// Resets the connections between a node and all others.
     pub fn reset_connections(&self, name: &str) {
         // Sending fails if no connection is open.
-        let _ = self.shared.resets.send(name.into());
+        let _ = self.shared.connection_faults.send((name.into(), ConnectionFault::Reset));
+    }
+
+    /// Silences the connections between a node and all others for good.
+    pub fn silence_connections(&self, name: &str) {
+        // Sending fails if no connection is open.
+        let _ = self.shared.connection_faults.send((name.into(), ConnectionFault::Silence));
     }
 
     /// Updates the process ids of the running nodes, by which the opener of a connection is found.
@@ -210,12 +229,13 @@
 ) {
     shared.wait_until_open(&sender, &receiver).await;
     let Ok(mut target) = TcpStream::connect(to).await else { return };
-    let mut resets = shared.resets.subscribe();
-    let reset = async {
+    let mut connection_faults = shared.connection_faults.subscribe();
+    let next_fault = async {
         loop {
-            match resets.recv().await {
-                Ok(name) if name != sender && name != receiver => {}
-                _ => return,
+            match connection_faults.recv().await {
+                Ok((name, _)) if name != sender && name != receiver => {}
+                Ok((_, fault)) => return fault,
+                Err(_) => return ConnectionFault::Reset,
             }
         }
     };
@@ -229,14 +249,27 @@
     };
     tokio::select! {
         _ = relay_both_directions => {}
-        () = reset => {
-            // With a linger time of zero, closing the socket resets the connection.
-            let _ = stream.set_zero_linger();
-            let _ = target.set_zero_linger();
+        fault = next_fault => match fault {
+            ConnectionFault::Reset => {
+                // With a linger time of zero, closing the socket resets the connection.
+                let _ = stream.set_zero_linger();
+                let _ = target.set_zero_linger();
+            }
+            ConnectionFault::Silence => {
+                drop_arrivals(&stream);
+                drop_arrivals(&target);
+                std::future::pending::<()>().await;
+            }
         }
     }
 }
 
+/// Drops all packets that arrive on a connection, so that their sender gets no acknowledgement.
+fn drop_arrivals(stream: &TcpStream) {
+    let drop_all = [SockFilter::new(RETURN_CONSTANT, 0, 0, 0)];
+    SockRef::from(stream).attach_filter(&drop_all).expect("the kernel takes the filter");
+}
+
 /// Copies one direction of a stream. It pauses while the link between the two nodes is interrupted.
 async fn relay_direction(
     shared: &NetworkState,
