--- a/crates/consensus/src/raft/raft_settings.rs
+++ b/crates/consensus/src/raft/raft_settings.rs
@@ -38,11 +38,10 @@
 }
 
 impl Default for RaftSettings {
-    /// The limits keep a message below the frame limit of 4 MiB and the log in memory at a few MiB. A
-    /// command holds a whole configuration of 10,000 routes.
-    /// The times suit data centres with latencies of a few milliseconds: an election completes well
-    /// within the 10 s that a release note may take, and heartbeats stay within the limit of
-    /// 23 KB/s per node.
+    /// The limits keep a message below the frame limit of 4 MiB and the log in memory at a few MiB; a
+    /// command holds a configuration of 10,000 routes. The times suit data centres with latencies of
+    /// a few milliseconds: an election completes well within the 10 s that a release note may take,
+    /// and heartbeats stay within the limit of 23 KB/s per node.
     fn default() -> Self {
         Self {
             heartbeat_interval_ms: 200,
--- a/crates/datapath/src/gate/backend_pool.rs
+++ b/crates/datapath/src/gate/backend_pool.rs
@@ -89,8 +89,8 @@
         Ok(ConnectionLease { connection: Some(connection), pool, _permit: permit })
     }
 
-    /// Takes the most recently used idle connection for requests of this size. Drops connections that are closed, have been
-    /// idle for too long or lead to another address.
+    /// Takes the most recently used idle connection for requests of this size. Drops connections
+    /// that are closed, have been idle for too long or lead to another address.
     fn take_idle(&self, address: SocketAddr, body_size: BodySize) -> Option<PooledConnection> {
         let mut idle = self.idle.lock().expect("no thread panics while it holds the lock");
         idle.retain(|connection| {
