Tell other nodes that a server has announced its departure, for the time after a restart

What users would see: a node acknowledges that its backend server leaves, is restarted, and gets an announcement that was sent before and is late. It then sends requests to the leaving server again.

Other nodes already remember, and tell a restarted gate, what a server says in its responses. An announced departure is told the same way now, also with heartbeats, since no calls go to a server that leaves. Only for servers with an identity, whose departure is final for their start. Heartbeats carry known limits as well.

Not covered: the restarted node's own callers, until the first heartbeat of another node.

--- a/crates/datapath/src/backend/announcement_tracker.rs
+++ b/crates/datapath/src/backend/announcement_tracker.rs
@@ -196,6 +196,8 @@
             slots: announcement.slots,
             server_id: announcement.server.as_ref().map(|server| server.id.clone()),
             started_at_ms: announcement.server.as_ref().map(|server| server.started_at_ms),
+            // A server without an identity may announce later that it takes requests again.
+            is_leaving: announcement.draining && announcement.server.is_some(),
             state,
         }
     }
--- a/crates/datapath/src/backend/backend_status.rs
+++ b/crates/datapath/src/backend/backend_status.rs
@@ -18,6 +18,9 @@
     /// Start time of the process of the backend server in ms since 1970, if it announced one. A
     /// later start may keep the identity.
     pub started_at_ms: Option<u64>,
+    /// Whether this start of the backend server has announced that it will end. Unlike a drain by an
+    /// operator, this is final.
+    pub is_leaving: bool,
     /// State of the backend server. The gate accepts new requests only in `Ready` and `Starting`.
     pub state: BackendState,
 }
@@ -31,6 +34,7 @@
             slots: 0,
             server_id: None,
             started_at_ms: None,
+            is_leaving: false,
             state: BackendState::Absent,
         }
     }
--- a/crates/datapath/src/gate/request_gate.rs
+++ b/crates/datapath/src/gate/request_gate.rs
@@ -170,7 +170,7 @@
             unused_tokens: retry_tokens.close(),
             advice: Some(self.admission_queue.advice()),
             run_time: self.admission_queue.mean_run_time(request_kind),
-            notice: self.server_notices.report(known_notice.is_some()),
+            notice: self.report_notice(known_notice.as_ref()),
         }
     }
 
--- a/crates/datapath/src/gate/server_notices.rs
+++ b/crates/datapath/src/gate/server_notices.rs
@@ -102,10 +102,20 @@
         is_same_start && state.notice.is_some_and(|notice| notice.is_leaving)
     }
 
-    /// Notice to report to calling nodes. That of a healthy server is reported only if
-    /// `is_correction` is set, because the calling node knows another one.
-    pub(crate) fn report(&self, is_correction: bool) -> Option<ReportedNotice> {
+    /// Notice to report to other nodes. That of a healthy server is reported only if `is_correction`
+    /// is set, because the other node knows another one. A server may also have announced that it is
+    /// leaving; after a restart, this gate may hear of an earlier announcement only.
+    pub(crate) fn report(
+        &self,
+        status: &BackendStatus,
+        is_correction: bool,
+    ) -> Option<ReportedNotice> {
         let state = self.lock();
+        if let (true, Some(started_at_ms)) = (status.is_leaving, status.started_at_ms) {
+            let known = state.notice.filter(|_| state.started_at_ms == Some(started_at_ms));
+            let notice = ServerNotice { is_leaving: true, ..known.unwrap_or_default() };
+            return Some(ReportedNotice { started_at_ms, notice });
+        }
         let notice = state.notice.filter(|n| is_correction || *n != ServerNotice::default())?;
         Some(ReportedNotice { started_at_ms: state.started_at_ms?, notice })
     }
@@ -157,13 +167,18 @@
 
     /// Takes over what another node knows of the backend server, if this gate has had no response
     /// from it yet.
-    pub(super) fn adopt_notice(&self, known: &ReportedNotice) {
+    pub(crate) fn adopt_notice(&self, known: &ReportedNotice) {
         let started_at_ms = self.status.borrow().started_at_ms;
         if let Some(notice) = self.server_notices.adopt(started_at_ms, known) {
             self.apply_notice(notice, started_at_ms);
         }
     }
 
+    /// Notice to report to another node, which may know one already.
+    pub(crate) fn report_notice(&self, known: Option<&ReportedNotice>) -> Option<ReportedNotice> {
+        self.server_notices.report(&self.status.borrow(), known.is_some())
+    }
+
     fn apply_notice(&self, notice: ServerNotice, started_at_ms: Option<u64>) {
         self.metrics.count("gate.notice_changed", 1);
         self.admission_queue.set_rate_limit(notice.max_requests_per_s);
--- a/crates/datapath/src/gate/server_notices/tests.rs
+++ b/crates/datapath/src/gate/server_notices/tests.rs
@@ -2,6 +2,7 @@
 use std::time::Instant;
 
 use super::ServerNotices;
+use crate::backend::BackendStatus;
 use crate::backend::ReportedNotice;
 use crate::backend::ServerNotice;
 use crate::datapath::Clock;
@@ -49,8 +50,8 @@
     assert_eq!(notices.record(FIRST_START, WELL, Instant::now()), Some(WELL));
     assert_eq!(notices.adopt(FIRST_START, &known(FIRST_START, LIMITED)), None);
     // The node that still knows the limit is corrected.
-    assert_eq!(notices.report(true), Some(known(FIRST_START, WELL)));
-    assert_eq!(notices.report(false), None);
+    assert_eq!(notices.report(&BackendStatus::absent(), true), Some(known(FIRST_START, WELL)));
+    assert_eq!(notices.report(&BackendStatus::absent(), false), None);
 }
 
 #[test]
@@ -62,3 +63,19 @@
     assert_eq!(notices.record(FIRST_START, WELL, now), None);
     assert!(notices.is_leaving(FIRST_START) && !notices.is_leaving(SECOND_START));
 }
+
+/// Guards against telling other nodes that a server is well, or of the notice of an earlier start, after
+/// it has announced that it is leaving.
+#[test]
+fn that_a_server_has_announced_its_departure_is_reported() {
+    let notices = notices();
+    notices.record(FIRST_START, LIMITED, Instant::now());
+    let status = |started_at_ms| BackendStatus {
+        started_at_ms,
+        is_leaving: true,
+        ..BackendStatus::absent()
+    };
+    let both = ServerNotice { is_leaving: true, ..LIMITED };
+    assert_eq!(notices.report(&status(FIRST_START), false), Some(known(FIRST_START, both)));
+    assert_eq!(notices.report(&status(SECOND_START), false), Some(known(SECOND_START, LEAVING)));
+}
--- a/crates/datapath/src/peer/gate_reply.rs
+++ b/crates/datapath/src/peer/gate_reply.rs
@@ -12,6 +12,7 @@
 use crate::gate::GateResponse;
 use crate::peer::peer_body::PeerBody;
 use crate::peer::peer_connection::parse_advice;
+use crate::peer::peer_connection::parse_notice;
 use crate::peer::peer_connection::PeerConnection;
 use crate::transport::strip_hop_headers;
 use crate::transport::strip_tarragon_headers;
@@ -34,8 +35,7 @@
     let (mut parts, incoming) = response.into_parts();
     let run_time = parts.headers.get(headers::RUN_TIME);
     let run_time = run_time.and_then(|value| value.to_str().ok()?.parse().ok());
-    let notice = parts.headers.get(headers::NOTICE);
-    let notice = notice.and_then(|value| value.to_str().ok()?.parse().ok());
+    let notice = parse_notice(&parts.headers);
     let unused_tokens = parse_number(&parts.headers, headers::RETRY_TOKENS);
     let unused_tokens = unused_tokens.and_then(|n| u32::try_from(n).ok()).unwrap_or(0);
     let reason = parts.headers.get(headers::REASON).and_then(|value| value.to_str().ok());
--- a/crates/datapath/src/peer/managed_connection.rs
+++ b/crates/datapath/src/peer/managed_connection.rs
@@ -211,7 +211,7 @@
             let connection =
                 PeerConnection::connect(peer.address, peer.instance, shared.clock, &shared.tracker);
             let connection = connection.await?;
-            let advice = connection.heartbeat(&shared.auth, &shared.crashes).await?;
+            let advice = connection.heartbeat(peer, shared).await?;
             shared.advise(peer, &advice);
             Ok(Arc::new(connection))
         };
@@ -290,7 +290,7 @@
         let limit = Duration::from_millis(settings.heartbeat_timeout_ms);
         let sent_us = shared.clock.now_us();
         let heartbeat = async {
-            let response = connection.heartbeat(&shared.auth, &shared.crashes);
+            let response = connection.heartbeat(peer, shared);
             match tokio::time::timeout(limit, response).await {
                 Ok(Ok(advice)) => HeartbeatEnd::Answered(advice),
                 Ok(Err(e)) => HeartbeatEnd::Failed(e),
--- a/crates/datapath/src/peer/peer_connection.rs
+++ b/crates/datapath/src/peer/peer_connection.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
@@ -21,15 +22,16 @@
 use tokio_util::task::TaskTracker;
 use tracing::debug;
 
+use crate::backend::ReportedNotice;
 use crate::datapath::Clock;
-use crate::peer::PeerAuth;
+use crate::peer::peer_pool::Peer;
+use crate::peer::peer_pool::PeerShared;
 use crate::peer::CONNECTION_WINDOW_BYTES;
 use crate::peer::HEARTBEAT_PATH;
 use crate::peer::MAX_RESET_STREAMS;
 use crate::peer::MAX_RESPONSE_HEADER_BYTES;
 use crate::peer::SEND_BUFFER_BYTES;
 use crate::peer::STREAM_WINDOW_BYTES;
-use crate::quarantine::SharedLedger;
 use crate::transport::empty;
 use crate::transport::Body;
 use crate::transport::TrackedExecutor;
@@ -134,10 +136,14 @@
     /// Describes the failure if the peer does not respond or is another instance than expected.
     pub(crate) async fn heartbeat(
         &self,
-        auth: &PeerAuth,
-        crashes: &SharedLedger,
+        peer: &Peer,
+        shared: &PeerShared,
     ) -> Result<AdmissionAdvice, String> {
+        let (auth, crashes) = (&shared.auth, &shared.crashes);
         let mut request = self.request(Method::GET, HEARTBEAT_PATH, empty());
+        if let Some(notice) = shared.notices.find(&peer.node) {
+            request.headers_mut().insert(headers::NOTICE, header_value(&notice.to_string()));
+        }
         let is_first = self.last_response_us() == 0;
         if is_first {
             crashes.write_suspects(request.headers_mut());
@@ -153,6 +159,9 @@
         }
         self.record_response();
         crashes.read(response.headers());
+        if let Some(notice) = parse_notice(response.headers()) {
+            shared.notices.record(&peer.node, &notice);
+        }
         Ok(parse_advice(&response).unwrap_or_default())
     }
 
@@ -197,6 +206,11 @@
     }
 }
 
+/// Reads from a response the notice of the peer's backend server.
+pub(crate) fn parse_notice(map: &HeaderMap) -> Option<ReportedNotice> {
+    map.get(headers::NOTICE)?.to_str().ok()?.parse().ok()
+}
+
 /// Reads from a response what the gate of the peer admits.
 pub(crate) fn parse_advice<B>(response: &Response<B>) -> Option<AdmissionAdvice> {
     response.headers().get(headers::ADVICE)?.to_str().ok()?.parse().ok()
--- a/crates/datapath/src/peer/peer_pool.rs
+++ b/crates/datapath/src/peer/peer_pool.rs
@@ -71,6 +71,7 @@
     pub(crate) metrics: Arc<dyn Metrics>,
     pub(crate) route: Arc<Mutex<Box<dyn RoutePolicy>>>,
     pub(crate) crashes: Arc<SharedLedger>,
+    pub(crate) notices: KnownNotices,
     pub(crate) tracker: TaskTracker,
     pub(crate) stop: CancellationToken,
 }
@@ -92,7 +93,7 @@
 pub(crate) struct Peer {
     pub(crate) instance: InstanceId,
     /// Name of the node, which it keeps when it is restarted.
-    node: String,
+    pub(crate) node: String,
     pub(crate) address: SocketAddr,
     /// Service of the peer's backend server; it changes when the peer announces another one.
     service: Mutex<String>,
@@ -149,7 +150,6 @@
 /// Connections to the other nodes.
 pub struct PeerPool {
     peers: RwLock<HashMap<InstanceId, Arc<Peer>>>,
-    notices: KnownNotices,
     shared: Arc<PeerShared>,
 }
 
@@ -158,12 +158,10 @@
     pub fn new(dependencies: PeerPoolDependencies) -> Self {
         let PeerPoolDependencies { settings, clock, auth, metrics, route, crashes } = dependencies;
         let (tracker, stop) = (TaskTracker::new(), CancellationToken::new());
-        let shared = PeerShared { settings, clock, auth, metrics, route, crashes, tracker, stop };
-        Self {
-            peers: RwLock::default(),
-            notices: KnownNotices::default(),
-            shared: Arc::new(shared),
-        }
+        let notices = KnownNotices::default();
+        let shared =
+            PeerShared { settings, clock, auth, metrics, route, crashes, notices, tracker, stop };
+        Self { peers: RwLock::default(), shared: Arc::new(shared) }
     }
 
     /// Replaces the set of peers. Connections to nodes that are no longer members are closed when
@@ -206,7 +204,7 @@
         needs_recent_response: bool,
     ) -> Result<GateResponse, PeerCallError> {
         let peer = self.find(target).ok_or(PeerCallError::Unsent)?;
-        call.known_notice = self.notices.find(&peer.node);
+        call.known_notice = self.shared.notices.find(&peer.node);
         let deadline = call.deadline;
         let connection =
             self.usable_connection(&peer, class, deadline, needs_recent_response).await;
@@ -260,7 +258,7 @@
             self.shared.advise(&peer, advice);
         }
         if let Some(notice) = &gate_response.notice {
-            self.notices.record(&peer.node, notice);
+            self.shared.notices.record(&peer.node, notice);
         }
         Ok(gate_response)
     }
@@ -313,7 +311,7 @@
                 return Some(connection);
             }
             let limit = deadline.min(Instant::now() + limit);
-            let heartbeat = connection.heartbeat(&shared.auth, &shared.crashes);
+            let heartbeat = connection.heartbeat(peer, shared);
             match tokio::time::timeout_at(limit.into(), heartbeat).await {
                 Ok(Ok(_)) => return Some(connection),
                 _ if Instant::now() >= deadline => return None,
--- a/crates/datapath/src/peer/peer_server.rs
+++ b/crates/datapath/src/peer/peer_server.rs
@@ -159,8 +159,15 @@
 
     fn heartbeat(&self, request: &HeaderMap) -> Response<Body> {
         self.gate.crashes.read(request);
+        let known_notice = parse_header(request, headers::NOTICE);
+        if let Some(known) = &known_notice {
+            self.gate.adopt_notice(known);
+        }
         let mut response = Response::new(empty());
         let map = response.headers_mut();
+        if let Some(notice) = self.gate.report_notice(known_notice.as_ref()) {
+            map.insert(headers::NOTICE, header_value(&notice.to_string()));
+        }
         map.insert(headers::TARGET, header_value(&self.instance.to_string()));
         map.insert(headers::ADVICE, header_value(&self.gate.admission_queue.advice().to_string()));
         if request.contains_key(headers::CRASHES) {
--- a/crates/datapath/tests/announcements.rs
+++ b/crates/datapath/tests/announcements.rs
@@ -106,8 +106,10 @@
 async fn a_server_that_left_stays_draining_until_a_later_one_starts() {
     with_announcements(|announcements| async move {
         announcements.announce(identified_announcement(1_000, 7, false));
+        assert!(!announcements.current_status().is_leaving);
         assert!(announcements.mark_leaving("server-1000", Some(1_000)));
         assert_eq!(announcements.current_status().state, BackendState::Draining);
+        assert!(announcements.current_status().is_leaving);
         assert!(!announcements.announce(identified_announcement(1_000, 8, false)));
         assert_eq!(announcements.current_status().state, BackendState::Draining);
         assert!(announcements.announce(identified_announcement(2_000, 0, false)));
--- a/crates/datapath/tests/datapath/notices.rs
+++ b/crates/datapath/tests/datapath/notices.rs
@@ -112,6 +112,29 @@
     assert_eq!(count_burst("x-leaving", "1", true).await, 0);
 }
 
+/// Guards against requests to a server whose departure was acknowledged by its node before that was
+/// restarted. The restarted node hears of an earlier, late announcement only.
+#[tokio::test]
+async fn a_restarted_gate_sends_nothing_to_a_server_that_had_announced_its_departure() {
+    let backend = start_backend("x-other", "1").await;
+    let mut cluster = cluster_with_slots();
+    cluster.settings.heartbeat_interval_ms = 20;
+    let server = start_server_node(&cluster, &backend).await;
+    let entry = Arc::new(cluster.start_node("entry", None).await);
+    wait_until_routed(&entry).await;
+    server.set_status(|status| {
+        status.is_leaving = true;
+        status.state = BackendState::Draining;
+    });
+    // The entry hears of it with the next heartbeats.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let server = restart(&cluster, server, &backend).await;
+    let before = backend.count();
+    send_burst(&entry).await;
+    assert_eq!(backend.count() - before, 0);
+    server.stop().await;
+}
+
 #[tokio::test]
 async fn other_nodes_hear_that_a_server_says_it_is_leaving() {
     let backend = start_backend("x-leaving", "1").await;
--- a/crates/datapath/tests/datapath/support/cluster.rs
+++ b/crates/datapath/tests/datapath/support/cluster.rs
@@ -229,6 +229,7 @@
                 state: BackendState::Ready,
                 server_id: None,
                 started_at_ms: None,
+                is_leaving: false,
             },
             None => BackendStatus::absent(),
         };
