--- a/crates/datapath/src/gate/silence_detection.rs
+++ b/crates/datapath/src/gate/silence_detection.rs
@@ -47,8 +47,9 @@
     }
 }
 
-/// Closes a connection of which the network has lost track, although neither end has. Without this, a
-/// request on it waits for its deadline. See docs/incidents/2026-12-05-silent-connections.md.
+/// Has the operating system close the connection when the network has lost track of it. Without
+/// this, a request on it waits for its deadline, although new connections work. See
+/// docs/incidents/2026-12-05-silent-connections.md.
 ///
 /// # Errors
 /// The operating system refuses a socket option.
--- a/crates/datapath/src/peer/managed_connection.rs
+++ b/crates/datapath/src/peer/managed_connection.rs
@@ -69,6 +69,7 @@
     class: WorkClass,
     status: watch::Sender<ConnectionStatus>,
     last_used_us: AtomicU64,
+    /// Time of the latest attempt to replace the connection while it was late.
     last_replacement: Mutex<Option<Instant>>,
 }
 
@@ -313,7 +314,7 @@
         );
         shared.metrics.count("route.suspected", 1);
         shared.set_state(peer.instance, PeerState::Suspect);
-        if !self.may_replace() {
+        if !self.begin_replacement() {
             return heartbeat.await;
         }
         let replace = async {
@@ -334,16 +335,17 @@
         }
     }
 
-    /// Whether a late connection may be replaced now. One for long work may be late only because
-    /// large bodies fill it, so its calls are not given up before the heartbeat timeout.
-    fn may_replace(&self) -> bool {
+    /// Starts the interval between two replacements. Returns false if a late connection may not be
+    /// replaced now. One for long work may be late only because large bodies fill it, so its calls
+    /// are not given up before the heartbeat timeout.
+    fn begin_replacement(&self) -> bool {
         let mut last =
             self.last_replacement.lock().expect("no thread panics while it holds the lock");
         let is_due = last.is_none_or(|at| at.elapsed() >= MIN_REPLACEMENT_INTERVAL);
-        let may_replace = is_due && self.class == WorkClass::Short;
-        if may_replace {
+        let is_allowed = is_due && self.class == WorkClass::Short;
+        if is_allowed {
             *last = Some(Instant::now());
         }
-        may_replace
+        is_allowed
     }
 }
--- a/crates/datapath/src/peer/peer_pool.rs
+++ b/crates/datapath/src/peer/peer_pool.rs
@@ -226,7 +226,8 @@
             biased;
             response = pending.wait() => response?,
             () = connection.silent.cancelled(), if !needs_recent_response => {
-                // An idempotent request runs elsewhere instead, within the retry ratio if it may have run.
+                // An idempotent request runs elsewhere instead, within the retry ratio if it may
+                // have run.
                 let is_fenced = connection.is_overtaken()
                     && self.fence_soon(target, class, attempt_key, deadline).await;
                 return Err(if is_fenced {
@@ -373,8 +374,8 @@
         self.request_fence(target, class, attempt, deadline).await == Some(true)
     }
 
-    /// Does the same as [`Self::fence`] for an idempotent request, which can run elsewhere if the gate
-    /// does not answer soon.
+    /// Does the same as [`Self::fence`] for an idempotent request, which can run elsewhere if the
+    /// gate does not answer soon.
     async fn fence_soon(
         &self,
         target: InstanceId,
