--- a/crates/datapath/tests/datapath/crashes.rs
+++ b/crates/datapath/tests/datapath/crashes.rs
@@ -140,3 +140,41 @@
         assert_eq!(send(entry, "/two/7").await.status.as_u16(), 200);
     }
 }
+
+/// Guards against running a request that waited for a slot while others like it crashed servers.
+#[tokio::test]
+async fn a_request_that_waits_does_not_run_after_its_quarantine() {
+    let mut cluster = configured_cluster();
+    cluster.concurrency_limit = 1;
+    let busy = CrashingBackend::start().await;
+    let _busy_node = cluster.start_node("server-1", Some(busy.address)).await;
+    let entry = Arc::new(cluster.start_node("entry-1", None).await);
+    wait_until_routed(&entry).await;
+    let send_in_background = |path: &'static str| {
+        let entry = Arc::clone(&entry);
+        tokio::spawn(async move { send(&entry, path).await })
+    };
+    let running = send_in_background("/one/slow");
+    tokio::time::sleep(RESTART_TIME).await;
+    let waiting: Vec<_> = (0..3).map(|_| send_in_background("/one/crash")).collect();
+    tokio::time::sleep(RESTART_TIME).await;
+    let (mut others, mut nodes) = (vec![], vec![]);
+    for name in ["server-2", "server-3", "server-4"] {
+        let backend = CrashingBackend::start().await;
+        nodes.push(cluster.start_node(name, Some(backend.address)).await);
+        others.push(backend);
+    }
+    for _ in 0..3 * CRASHES {
+        let crashes: usize = others.iter().map(CrashingBackend::crashes).sum();
+        if crashes >= CRASHES {
+            break;
+        }
+        send(&entry, "/one/crash").await;
+        tokio::time::sleep(RESTART_TIME).await;
+    }
+    assert_eq!(running.await.unwrap().status.as_u16(), 200);
+    for request in waiting {
+        assert_eq!(request.await.unwrap().reason(), "quarantined");
+    }
+    assert_eq!(busy.crashes(), 0);
+}
--- a/crates/datapath/tests/datapath/support/crashing_backend.rs
+++ b/crates/datapath/tests/datapath/support/crashing_backend.rs
@@ -24,12 +24,16 @@
 /// Time that the server runs a request before it answers or crashes.
 const RUN_TIME: Duration = Duration::from_millis(20);
 
+/// Time that the server runs a request whose path contains `slow`.
+const SLOW_RUN_TIME: Duration = Duration::from_secs(6);
+
 /// Number of requests with `flaky` in their path, at all servers of the process.
 static FLAKY_REQUESTS: AtomicUsize = AtomicUsize::new(0);
 
 /// Backend server that crashes while it runs a request whose path contains `crash`, and starts again
 /// at the same address. It answers other requests with their request id. If the path contains `flaky`
-/// as well, it answers every second of these requests with an error before it runs it.
+/// as well, it answers every second of these requests with an error before it runs it. Requests with
+/// `slow` in their path keep it busy for a while.
 pub struct CrashingBackend {
     pub address: SocketAddr,
     crashes: Arc<AtomicUsize>,
@@ -81,8 +85,9 @@
     request: Request<Incoming>,
     crash: Arc<Notify>,
 ) -> Result<Response<Body>, Infallible> {
-    tokio::time::sleep(RUN_TIME).await;
     let path = request.uri().path();
+    let run_time = if path.contains("slow") { SLOW_RUN_TIME } else { RUN_TIME };
+    tokio::time::sleep(run_time).await;
     let is_flaky = path.contains("flaky");
     let is_error = is_flaky && FLAKY_REQUESTS.fetch_add(1, Ordering::SeqCst).is_multiple_of(2);
     if path.contains("crash") && !is_error {
--- a/crates/policy/src/quarantine/crash_ledger/tests.rs
+++ b/crates/policy/src/quarantine/crash_ledger/tests.rs
@@ -15,6 +15,10 @@
 
 const SECOND: u64 = 1_000_000;
 
+/// Age up to which changes are told, and number of records in a message, as on the data path.
+const MAX_AGE_MS: u64 = 10_000;
+const MAX_RECORDS: usize = 64;
+
 /// The request that crashes its servers.
 const CRASHING: RequestFingerprint = RequestFingerprint(0);
 
@@ -152,7 +156,6 @@
 
 #[test]
 fn old_records_of_several_crashes_are_told_to_nodes_that_have_started_since() {
-    const MAX_AGE_MS: u64 = 10_000;
     let mut ledger = ledger();
     let bystander = RequestFingerprint(1);
     ledger.record_crash(1, &[CRASHING, bystander], 0);
@@ -227,3 +230,77 @@
     ledger.expire(retention_us);
     assert_eq!(ledger.suspicion(CRASHING), Suspicion::Low);
 }
+
+/// Guards against a cause that stays unknown because it always runs beside other suspects.
+#[test]
+fn a_crash_is_held_against_every_request_that_ran() {
+    let mut ledger = ledger();
+    for crash in 1..=3 {
+        let suspect = RequestFingerprint(u64::from(crash));
+        ledger.record_crash(10 * crash, &[suspect], 0);
+        ledger.record_crash(10 * crash + 1, &[suspect], 0);
+        ledger.record_crash(10 * crash + 2, &[CRASHING, suspect], SECOND);
+    }
+    assert_eq!(ledger.suspicion(CRASHING), Suspicion::Quarantined);
+}
+
+/// Guards against a gate that runs a request because the call that brought it told other records.
+#[test]
+fn a_message_about_a_request_tells_its_record_first() {
+    let (mut entry, mut gate) = (ledger(), ledger());
+    entry.record_crash(1, &[CRASHING], 0);
+    for other in 1..=MAX_RECORDS as u64 {
+        for crash in 1..=2 {
+            entry.record_crash(1_000 * crash + other as u32, &[RequestFingerprint(other)], SECOND);
+        }
+    }
+    for told in entry.news(Some(CRASHING), MAX_AGE_MS, MAX_RECORDS, 2 * SECOND) {
+        gate.merge_told(&told, 2 * SECOND);
+    }
+    assert!(gate.record(CRASHING).is_some());
+}
+
+/// Guards against records that no message carries because others are always before them.
+#[test]
+fn records_that_do_not_fit_into_a_message_are_told_with_the_next_ones() {
+    let (mut from, mut to) = (ledger(), ledger());
+    let running: Vec<_> = (0..3 * MAX_RECORDS as u64).map(RequestFingerprint).collect();
+    from.record_crash(1, &running, 0);
+    for _ in 0..3 {
+        for told in from.news(None, MAX_AGE_MS, MAX_RECORDS, SECOND) {
+            to.merge_told(&told, SECOND);
+        }
+    }
+    assert!(running.iter().all(|fingerprint| to.record(*fingerprint).is_some()));
+}
+
+/// Guards against nodes that never hear of a quarantine, because those that heard of it late keep
+/// it to themselves.
+#[test]
+fn a_record_that_arrives_late_is_passed_on() {
+    let (mut first, mut second, mut third) = (ledger(), ledger(), ledger());
+    for crash in 1..=3 {
+        first.record_crash(crash, &[CRASHING], 0);
+    }
+    let now_us = 2 * MAX_AGE_MS * 1_000;
+    for told in first.suspects(MAX_RECORDS, now_us) {
+        second.merge_told(&told, now_us);
+    }
+    for told in second.news(None, MAX_AGE_MS, MAX_RECORDS, now_us) {
+        third.merge_told(&told, now_us);
+    }
+    assert_eq!(third.suspicion(CRASHING), Suspicion::Quarantined);
+}
+
+/// Guards against a request that crashes servers for ever because one of them answered it once.
+#[test]
+fn an_answer_does_not_clear_the_crashes_that_follow() {
+    let mut ledger = ledger();
+    ledger.record_crash(1, &[CRASHING], 0);
+    ledger.record_answer(CRASHING, SECOND);
+    assert_eq!(ledger.suspicion(CRASHING), Suspicion::Low);
+    for crash in 2..=4 {
+        ledger.record_crash(crash, &[CRASHING], 2 * SECOND);
+    }
+    assert_eq!(ledger.suspicion(CRASHING), Suspicion::Quarantined);
+}
