Hold a crash against every request that ran

Callers saw a crashing request reach more and more servers. A crash was held only against the running requests with the most crashes before, so a request that had merely run at another crash took the blame whenever the cause ran beside it, and the record of the cause did not move.

Every request that ran is charged now.

--- a/crates/policy/src/quarantine/crash_ledger.rs
+++ b/crates/policy/src/quarantine/crash_ledger.rs
@@ -43,9 +43,9 @@
 
 /// Crashes of backend servers, by the requests that ran at the time.
 ///
-/// A crash is held against those of the running requests under which most servers have crashed
-/// before: the one that causes all the crashes is always among them, while most others ran at one
-/// of the crashes only. A request that is answered after a crash is cleared.
+/// A crash is held against every request that ran, since nothing tells which of them caused it. The
+/// one that causes all the crashes is always among them, while most others ran at one of the crashes
+/// only, and are cleared when they are answered elsewhere.
 #[derive(Debug)]
 pub struct CrashLedger {
     settings: QuarantineSettings,
@@ -85,14 +85,11 @@
         now_us: u64,
     ) -> Vec<RequestFingerprint> {
         let running: BTreeSet<_> = running.iter().copied().collect();
-        let counts = running.iter().map(|fingerprint| self.crash_count(*fingerprint));
-        let highest = counts.max().unwrap_or(0);
-        let is_suspect = |fingerprint: &RequestFingerprint| {
-            let is_cleared =
-                self.entries.get(fingerprint).is_some_and(|entry| entry.record.is_answered);
-            !is_cleared && self.crash_count(*fingerprint) == highest
+        let is_cleared = |fingerprint: &RequestFingerprint| {
+            self.entries.get(fingerprint).is_some_and(|entry| entry.record.is_answered)
         };
-        let suspects: Vec<_> = running.into_iter().filter(is_suspect).collect();
+        let suspects: Vec<_> =
+            running.into_iter().filter(|fingerprint| !is_cleared(fingerprint)).collect();
         for fingerprint in &suspects {
             let crashes = BTreeSet::from([crash]);
             let record = CrashRecord { fingerprint: *fingerprint, crashes, is_answered: false };
