Tell each crash record a limited number of times instead of for ten seconds

Callers saw a crashing request reach further servers although others knew of its crashes. With dozens of requests charged for each crash the record of the cause was soon behind newer ones, even in the message that brought the request itself; and a node that heard of it later than ten seconds after the crash, after a cut for example, kept it to itself.

The cost of a crash no longer depends on the number of messages in ten seconds.

--- a/crates/datapath/src/quarantine/shared_ledger.rs
+++ b/crates/datapath/src/quarantine/shared_ledger.rs
@@ -21,9 +21,6 @@
 /// Maximum number of records in the first heartbeat on a connection, about 3 KB.
 const MAX_SUSPECT_RECORDS: usize = 64;
 
-/// Time for which a change is told with every message, in ms. Later it is told on new connections only.
-const NEWS_MS: u64 = 10_000;
-
 /// Maximum average rate of log lines about requests that ran at a crash, in lines per second.
 const MAX_CRASH_LOG_LINES_PER_S: u32 = 10;
 
@@ -52,10 +49,10 @@
     /// Adds to the headers of a message to another node what is new, and what is known of the request
     /// of the message.
     pub(crate) fn write_news(&self, map: &mut HeaderMap, about: Option<RequestFingerprint>) {
-        let ledger = self.lock();
+        let mut ledger = self.lock();
         if !ledger.is_empty() {
             let now_us = self.clock.now_us();
-            write_records(map, &ledger.news(about, NEWS_MS, MAX_NEWS_RECORDS, now_us));
+            write_records(map, &ledger.news(about, MAX_NEWS_RECORDS, now_us));
         }
     }
 
--- a/crates/policy/src/quarantine/crash_ledger.rs
+++ b/crates/policy/src/quarantine/crash_ledger.rs
@@ -1,6 +1,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use crate::quarantine::CrashRecord;
 use crate::quarantine::RequestFingerprint;
@@ -35,10 +36,26 @@
     Quarantined,
 }
 
+/// Number of times that a node tells a change to others. With 2,200 nodes that choose their peers at
+/// random, ln(2,200) = 8 times reach almost all; calls prefer some peers, so there are more.
+const MAX_TIMES_TOLD: u32 = 32;
+
 #[derive(Debug)]
 struct LedgerEntry {
     record: CrashRecord,
     changed_us: u64,
+    /// Number of times that this node has told the record as it is now.
+    times_told: u32,
+}
+
+impl LedgerEntry {
+    fn told(&self, now_us: u64) -> ToldRecord {
+        ToldRecord {
+            // Rounded up, so that a record does not become younger each time it is told.
+            age_ms: now_us.saturating_sub(self.changed_us).div_ceil(1_000),
+            record: self.record.clone(),
+        }
+    }
 }
 
 /// Crashes of backend servers, by the requests that ran at the time.
@@ -50,12 +67,14 @@
 pub struct CrashLedger {
     settings: QuarantineSettings,
     entries: HashMap<RequestFingerprint, LedgerEntry>,
+    /// Requests whose records this node still tells others.
+    changes: HashSet<RequestFingerprint>,
 }
 
 impl CrashLedger {
     /// Creates an empty ledger.
     pub fn new(settings: QuarantineSettings) -> Self {
-        Self { settings, entries: HashMap::new() }
+        Self { settings, entries: HashMap::new(), changes: HashSet::new() }
     }
 
     /// Whether there is no record, as is usual.
@@ -104,6 +123,8 @@
             if !entry.record.is_answered {
                 entry.record.is_answered = true;
                 entry.changed_us = now_us;
+                entry.times_told = 0;
+                self.changes.insert(fingerprint);
             }
         }
     }
@@ -118,6 +139,8 @@
         if let Some(entry) = self.entries.get_mut(&record.fingerprint) {
             if entry.record.merge(record) {
                 entry.changed_us = entry.changed_us.max(changed_us);
+                entry.times_told = 0;
+                self.changes.insert(record.fingerprint);
             }
             return;
         }
@@ -126,8 +149,9 @@
             self.evict_bystander();
         }
         if self.entries.len() < self.settings.max_records {
-            let entry = LedgerEntry { record: record.clone(), changed_us };
+            let entry = LedgerEntry { record: record.clone(), changed_us, times_told: 0 };
             self.entries.insert(record.fingerprint, entry);
+            self.changes.insert(record.fingerprint);
         }
     }
 
@@ -136,46 +160,54 @@
         self.entries.get(&fingerprint).map(|entry| &entry.record)
     }
 
-    /// Records to tell other nodes with a message about a request: what is known of it and what has
-    /// changed within `max_age_ms`, at most `max_records`.
+    /// Records to tell another node with a message: what is known of the request that the message is
+    /// about, and changes that have been told the fewest times, at most `max_records`.
+    ///
+    /// As in the dissemination component of SWIM (Das, Gupta, Motivala, 2002), a change is told a
+    /// limited number of times by each node that hears of it, however late it does.
     pub fn news(
-        &self,
+        &mut self,
         about: Option<RequestFingerprint>,
-        max_age_ms: u64,
         max_records: usize,
         now_us: u64,
     ) -> Vec<ToldRecord> {
-        let since_us = now_us.saturating_sub(max_age_ms * 1_000);
-        self.select(max_records, now_us, |entry| {
-            entry.changed_us >= since_us || Some(entry.record.fingerprint) == about
-        })
+        let about = about.filter(|fingerprint| self.entries.contains_key(fingerprint));
+        let changes = self.changes.iter().filter(|fingerprint| Some(**fingerprint) != about);
+        let changes = changes.filter_map(|fingerprint| {
+            let entry = self.entries.get(fingerprint)?;
+            let count = entry.record.crash_count();
+            Some((Reverse(count), entry.times_told, Reverse(entry.changed_us), *fingerprint))
+        });
+        let mut changes: Vec<_> = changes.collect();
+        let left = max_records.saturating_sub(usize::from(about.is_some()));
+        if left < changes.len() {
+            changes.select_nth_unstable(left);
+            changes.truncate(left);
+        }
+        let changes = changes.into_iter().map(|(.., fingerprint)| fingerprint);
+        about.into_iter().chain(changes).filter_map(|f| self.tell(f, now_us)).collect()
     }
 
-    /// Records to tell nodes that have started since: those of requests under which several servers
-    /// have crashed, at most `max_records`.
-    pub fn suspects(&self, max_records: usize, now_us: u64) -> Vec<ToldRecord> {
-        self.select(max_records, now_us, |entry| entry.record.crash_count() > 1)
+    /// Returns a record to tell, and counts that it was told.
+    fn tell(&mut self, fingerprint: RequestFingerprint, now_us: u64) -> Option<ToldRecord> {
+        let entry = self.entries.get_mut(&fingerprint)?;
+        entry.times_told = entry.times_told.saturating_add(1);
+        if entry.times_told >= MAX_TIMES_TOLD {
+            self.changes.remove(&fingerprint);
+        }
+        Some(entry.told(now_us))
     }
 
-    /// Selects records, those with the most crashes first and then the newest.
-    fn select(
-        &self,
-        max_records: usize,
-        now_us: u64,
-        is_selected: impl Fn(&LedgerEntry) -> bool,
-    ) -> Vec<ToldRecord> {
-        let mut entries: Vec<_> =
-            self.entries.values().filter(|entry| is_selected(entry)).collect();
-        entries.sort_unstable_by_key(|entry| {
+    /// Records to tell nodes that have started since: those of requests under which several servers
+    /// have crashed, those with the most crashes first and then the newest, at most `max_records`.
+    pub fn suspects(&self, max_records: usize, now_us: u64) -> Vec<ToldRecord> {
+        let suspects = self.entries.values().filter(|entry| entry.record.crash_count() > 1);
+        let mut suspects: Vec<_> = suspects.collect();
+        suspects.sort_unstable_by_key(|entry| {
             let count = entry.record.crash_count();
             (Reverse(count), Reverse(entry.changed_us), entry.record.fingerprint)
         });
-        let told = entries.into_iter().take(max_records).map(|entry| ToldRecord {
-            // Rounded up, so that a record does not become younger each time it is told.
-            age_ms: now_us.saturating_sub(entry.changed_us).div_ceil(1_000),
-            record: entry.record.clone(),
-        });
-        told.collect()
+        suspects.into_iter().take(max_records).map(|entry| entry.told(now_us)).collect()
     }
 
     /// Drops the oldest record of a request that is hardly suspected, if the ledger is full.
@@ -188,6 +220,7 @@
             bystanders.min_by_key(|(fingerprint, entry)| (entry.changed_us, **fingerprint));
         if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
             self.entries.remove(&fingerprint);
+            self.changes.remove(&fingerprint);
         }
     }
 
@@ -195,6 +228,7 @@
     pub fn expire(&mut self, now_us: u64) {
         let retention_us = self.settings.retention_ms * 1_000;
         self.entries.retain(|_, entry| now_us.saturating_sub(entry.changed_us) < retention_us);
+        self.changes.retain(|fingerprint| self.entries.contains_key(fingerprint));
     }
 }
 
