Let an answer clear only the crashes before it

One answer freed a request for good: its record was marked as answered, merging never took that back, and all later crashes were ignored. A request that crashes its servers and is answered once, by a server that did not run it or for another request of the same fingerprint, could end any number of servers.

An answer now drops the crashes so far and later ones count again. Records carry the number of their clearings; the larger number wins when they are merged, so that nodes still agree in any order. The fleet forgets cleared records first when a ledger is full.

The convergence property now mixes in answers.

--- a/crates/policy/src/quarantine/crash_ledger.rs
+++ b/crates/policy/src/quarantine/crash_ledger.rs
@@ -103,25 +103,19 @@
         running: &[RequestFingerprint],
         now_us: u64,
     ) -> Vec<RequestFingerprint> {
-        let running: BTreeSet<_> = running.iter().copied().collect();
-        let is_cleared = |fingerprint: &RequestFingerprint| {
-            self.entries.get(fingerprint).is_some_and(|entry| entry.record.is_answered)
-        };
-        let suspects: Vec<_> =
-            running.into_iter().filter(|fingerprint| !is_cleared(fingerprint)).collect();
+        let suspects: BTreeSet<_> = running.iter().copied().collect();
         for fingerprint in &suspects {
-            let crashes = BTreeSet::from([crash]);
-            let record = CrashRecord { fingerprint: *fingerprint, crashes, is_answered: false };
+            let clearings = self.entries.get(fingerprint).map_or(0, |entry| entry.record.clearings);
+            let record = CrashRecord::of_crash(*fingerprint, clearings, crash);
             self.merge(&record, now_us, now_us);
         }
-        suspects
+        suspects.into_iter().collect()
     }
 
-    /// Records that a server has answered the request.
+    /// Records that a server has answered the request, so that it did not cause the crashes so far.
     pub fn record_answer(&mut self, fingerprint: RequestFingerprint, now_us: u64) {
         if let Some(entry) = self.entries.get_mut(&fingerprint) {
-            if !entry.record.is_answered {
-                entry.record.is_answered = true;
+            if entry.record.clear() {
                 entry.changed_us = now_us;
                 entry.times_told = 0;
                 self.changes.insert(fingerprint);
@@ -210,14 +204,16 @@
         suspects.into_iter().take(max_records).map(|entry| entry.told(now_us)).collect()
     }
 
-    /// Drops the oldest record of a request that is hardly suspected, if the ledger is full.
+    /// Drops the record of a request that is hardly suspected, if the ledger is full: the oldest of the
+    /// cleared ones, or else the oldest with a single crash.
     fn evict_bystander(&mut self) {
         if self.entries.len() < self.settings.max_records {
             return;
         }
         let bystanders = self.entries.iter().filter(|(_, entry)| entry.record.crash_count() <= 1);
-        let oldest =
-            bystanders.min_by_key(|(fingerprint, entry)| (entry.changed_us, **fingerprint));
+        let oldest = bystanders.min_by_key(|(fingerprint, entry)| {
+            (entry.record.crash_count(), entry.changed_us, **fingerprint)
+        });
         if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
             self.entries.remove(&fingerprint);
             self.changes.remove(&fingerprint);
--- a/crates/policy/src/quarantine/crash_ledger/tests.rs
+++ b/crates/policy/src/quarantine/crash_ledger/tests.rs
@@ -9,6 +9,7 @@
 use super::CrashLedger;
 use super::QuarantineSettings;
 use super::Suspicion;
+use crate::quarantine::CrashRecord;
 use crate::quarantine::RequestFingerprint;
 use crate::quarantine::ToldRecord;
 use crate::quarantine::MAX_CRASHES;
@@ -121,17 +122,27 @@
     tell(&mut first, &mut second, SECOND);
     tell(&mut second, &mut first, SECOND);
     assert_eq!(second.suspicion(request), Suspicion::Low);
-    assert!(second.record_crash(3, &[request], SECOND).is_empty());
+    second.record_crash(3, &[request], SECOND);
+    tell(&mut second, &mut first, SECOND);
+    tell(&mut first, &mut second, SECOND);
+    for node in [&first, &second] {
+        assert_eq!(node.record(request).map(CrashRecord::crash_count), Some(1));
+    }
 }
 
 #[test]
 fn records_can_be_merged_in_any_order_and_any_number_of_times() {
-    fn converges(seed: u64, crashes: Vec<(u8, u8)>) -> bool {
+    fn converges(seed: u64, events: Vec<(u8, u8, bool)>) -> bool {
         let mut rng = Pcg32::seed_from_u64(seed);
         let mut nodes: Vec<CrashLedger> = (0..3).map(|_| ledger()).collect();
-        for (crash, (node, request)) in (0_u32..).zip(crashes) {
+        for (crash, (node, request, is_answer)) in (0_u32..).zip(events) {
             let request = RequestFingerprint(u64::from(request % 3));
-            nodes[usize::from(node % 3)].record_crash(crash, &[request], 0);
+            let node = &mut nodes[usize::from(node % 3)];
+            if is_answer {
+                node.record_answer(request, 0);
+            } else {
+                node.record_crash(crash, &[request], 0);
+            }
         }
         for _ in 0..30 {
             let (from, to) = (rng.random_range(0..3), rng.random_range(0..3));
@@ -157,7 +168,7 @@
             verdicts.len() == 1
         })
     }
-    check_property(11, 200, converges as fn(u64, Vec<(u8, u8)>) -> bool);
+    check_property(11, 200, converges as fn(u64, Vec<(u8, u8, bool)>) -> bool);
 }
 
 #[test]
