Ask for the verdict on a request again before it is sent to the server

A gate asked whether a request is in quarantine before the request waited for a slot, and not again. Requests that waited while others like them ended three servers ran as soon as a slot was free, however much later.

The gate now asks again once it holds a slot and a connection. a_request_that_waits_does_not_run_after_its_quarantine failed before: the waiting request crashed its server (reason connection-lost); now it is refused with quarantined, which is not-run.

--- a/crates/datapath/src/gate/request_gate.rs
+++ b/crates/datapath/src/gate/request_gate.rs
@@ -22,6 +22,7 @@
 use tarragon_policy::admission::AdmissionRequest;
 use tarragon_policy::admission::RunOutcome;
 use tarragon_policy::admission::WorkClass;
+use tarragon_policy::quarantine::RequestFingerprint;
 use tarragon_policy::quarantine::Suspicion;
 use tarragon_policy::retry::RetryPolicy;
 use tokio::sync::watch;
@@ -244,10 +245,7 @@
         call: &GateCall,
     ) -> Result<AdmissionRequest, CallFailure> {
         self.ready_address(&call.service)?;
-        let suspicion = call.fingerprint.map(|fingerprint| self.crashes.suspicion(fingerprint));
-        if suspicion == Some(Suspicion::Quarantined) {
-            return Err(Reason::Quarantined.into());
-        }
+        self.check_quarantine(call.fingerprint)?;
         let deadline_left_us = crate::datapath::remaining_us(call.deadline);
         if deadline_left_us == 0 {
             return Err(Reason::Late.into());
@@ -264,6 +262,18 @@
         })
     }
 
+    /// Fails if the request must not run because servers crashed each time they ran it.
+    fn check_quarantine(
+        &self,
+        fingerprint: Option<RequestFingerprint>,
+    ) -> Result<(), CallFailure> {
+        let suspicion = fingerprint.map(|fingerprint| self.crashes.suspicion(fingerprint));
+        if suspicion == Some(Suspicion::Quarantined) {
+            return Err(Reason::Quarantined.into());
+        }
+        Ok(())
+    }
+
     /// Expected run time, in ms; 0 if the operation is not in this node's catalogue yet.
     fn expected_ms(&self, call: &GateCall) -> u64 {
         let catalogue = self.catalogue.borrow();
@@ -295,6 +305,8 @@
         let mut is_started = false;
         for _ in 0..MAX_CONNECTION_ATTEMPTS {
             let mut lease = self.pool.checkout(address, body_size, deadline).await?;
+            // Others may have crashed servers while this request waited for a slot or a connection.
+            self.check_quarantine(fingerprint)?;
             if !is_started {
                 self.record_attempt_start(attempt, deadline)?;
                 span.set_running();
