--- a/crates/datapath/src/gate/request_gate.rs
+++ b/crates/datapath/src/gate/request_gate.rs
@@ -263,10 +263,7 @@
     }
 
     /// Fails if the request must not run because servers crashed each time they ran it.
-    fn check_quarantine(
-        &self,
-        fingerprint: Option<RequestFingerprint>,
-    ) -> Result<(), CallFailure> {
+    fn check_quarantine(&self, fingerprint: Option<RequestFingerprint>) -> Result<(), CallFailure> {
         let suspicion = fingerprint.map(|fingerprint| self.crashes.suspicion(fingerprint));
         if suspicion == Some(Suspicion::Quarantined) {
             return Err(Reason::Quarantined.into());
