Count a crash in the body of a response, and clear a request at its end only

A request whose server crashed while it sent the body was never counted: the head of the response cleared it and ended its registration. Every sending of such a request took a server down.

A run now stays registered until its response is complete. Only then does the answer clear the request; a response that breaks off is checked for a crash.

--- a/crates/datapath/src/gate/crash_detector.rs
+++ b/crates/datapath/src/gate/crash_detector.rs
@@ -11,6 +11,7 @@
 use tarragon_policy::quarantine::RequestFingerprint;
 use tarragon_policy::quarantine::Suspicion;
 use tokio::net::TcpStream;
+use tokio_util::task::TaskTracker;
 
 use crate::quarantine::SharedLedger;
 use crate::transport::CallFailure;
@@ -33,6 +34,8 @@
     running: Mutex<RunningRequests>,
     last_crash: tokio::sync::Mutex<Option<Instant>>,
     ledger: Arc<SharedLedger>,
+    /// Tracks the checks after responses that broke off.
+    tracker: TaskTracker,
 }
 
 #[derive(Default)]
@@ -42,8 +45,9 @@
 }
 
 impl CrashDetector {
-    pub(crate) fn new(ledger: Arc<SharedLedger>) -> Self {
-        Self { running: Mutex::default(), last_crash: tokio::sync::Mutex::default(), ledger }
+    pub(crate) fn new(ledger: Arc<SharedLedger>, tracker: TaskTracker) -> Self {
+        let (running, last_crash) = (Mutex::default(), tokio::sync::Mutex::default());
+        Self { running, last_crash, ledger, tracker }
     }
 
     fn lock(&self) -> MutexGuard<'_, RunningRequests> {
@@ -56,9 +60,10 @@
     /// `Shed` if the request may crash the server and another such request runs. Only one at a time
     /// runs, so that a crash tells which of them is the cause.
     pub(crate) fn start_run(
-        &self,
+        self: &Arc<Self>,
         fingerprint: Option<RequestFingerprint>,
-    ) -> Result<CrashDetectorRun<'_>, CallFailure> {
+        address: SocketAddr,
+    ) -> Result<CrashDetectorRun, CallFailure> {
         let mut running = self.lock();
         let is_suspect = |fingerprint| self.ledger.suspicion(fingerprint) >= Suspicion::High;
         if fingerprint.is_some_and(is_suspect)
@@ -71,12 +76,12 @@
         if let Some(fingerprint) = fingerprint {
             running.fingerprints.insert(run, fingerprint);
         }
-        Ok(CrashDetectorRun { detector: self, run })
+        Ok(CrashDetectorRun { detector: Arc::clone(self), run, fingerprint, address })
     }
 
     /// Checks whether the server has crashed, after a request lost its connection to it. All
     /// requests that ran then are still registered, since each of them waits for this check.
-    pub(crate) async fn check(&self, address: SocketAddr) {
+    async fn check(&self, address: SocketAddr) {
         let mut last_crash = self.last_crash.lock().await;
         if last_crash.is_some_and(|at| at.elapsed() < CRASH_WINDOW) {
             return;
@@ -92,13 +97,35 @@
     }
 }
 
-/// A request that the backend server runs.
-pub(crate) struct CrashDetectorRun<'a> {
-    detector: &'a CrashDetector,
+/// A request that the backend server runs, until its response is complete.
+pub(crate) struct CrashDetectorRun {
+    detector: Arc<CrashDetector>,
     run: u64,
+    fingerprint: Option<RequestFingerprint>,
+    address: SocketAddr,
 }
 
-impl Drop for CrashDetectorRun<'_> {
+impl CrashDetectorRun {
+    /// Ends the run with a complete response, which shows that the request crashes no server.
+    pub(crate) fn end_with_answer(self) {
+        if let Some(fingerprint) = self.fingerprint {
+            self.detector.ledger.record_answer(fingerprint);
+        }
+    }
+
+    /// Checks whether the server has crashed, after the request lost its connection to it.
+    pub(crate) async fn check(&self) {
+        self.detector.check(self.address).await;
+    }
+
+    /// Checks the same in the background, after the response broke off.
+    pub(crate) fn check_in_background(self) {
+        let tracker = self.detector.tracker.clone();
+        tracker.spawn(async move { self.check().await });
+    }
+}
+
+impl Drop for CrashDetectorRun {
     fn drop(&mut self) {
         self.detector.lock().fingerprints.remove(&self.run);
     }
--- a/crates/datapath/src/gate/request_gate.rs
+++ b/crates/datapath/src/gate/request_gate.rs
@@ -92,7 +92,7 @@
     pub(crate) retry: Arc<Mutex<Box<dyn RetryPolicy>>>,
     pub(crate) server_notices: ServerNotices,
     pub(crate) crashes: Arc<SharedLedger>,
-    crash_detector: CrashDetector,
+    crash_detector: Arc<CrashDetector>,
     catalogue: watch::Receiver<Arc<Catalogue>>,
     pub(crate) interface: Arc<dyn BackendInterface>,
     failure_log: LogRateLimiter,
@@ -112,6 +112,7 @@
             Duration::from_millis(settings.connect_timeout_ms),
             tracker.clone(),
         );
+        let crash_detector = Arc::new(CrashDetector::new(Arc::clone(&crashes), tracker.clone()));
         Self {
             admission_queue: Arc::new(AdmissionQueue::new(admission, clock)),
             keys: Arc::new(IdempotencyKeys::new(once, clock, key)),
@@ -127,7 +128,7 @@
             backend,
             retry,
             server_notices: ServerNotices::new(clock),
-            crash_detector: CrashDetector::new(Arc::clone(&crashes)),
+            crash_detector,
             crashes,
             catalogue,
             interface,
@@ -298,7 +299,7 @@
         let request_tag = self.interface.correlation_tag(call.request.headers());
         let (mut request, is_upload_done) = self.backend_request(call, span.id(), address);
         let body_size = BodySize::of(request.body());
-        let _run = self.crash_detector.start_run(fingerprint)?;
+        let run = self.crash_detector.start_run(fingerprint, address)?;
         let mut is_started = false;
         for _ in 0..MAX_CONNECTION_ATTEMPTS {
             let mut lease = self.pool.checkout(address, body_size, deadline).await?;
@@ -316,7 +317,7 @@
                 SendOutcome::Failed(failure) => {
                     slot.set_outcome(RunOutcome::Failed);
                     if failure.reason == Reason::ConnectionLost {
-                        self.crash_detector.check(address).await;
+                        run.check().await;
                     }
                     return Err(failure);
                 }
@@ -340,11 +341,10 @@
                         return Err(Reason::BadAnswer.into());
                     }
                     // A failing server may send an error without having run the request.
-                    let is_error = response.status().is_server_error();
-                    if let Some(fingerprint) = fingerprint.filter(|_| !is_error) {
-                        self.crashes.record_answer(fingerprint);
-                    }
+                    let is_answer = !response.status().is_server_error();
                     let execution = Execution {
+                        run,
+                        is_answer,
                         lease,
                         slot,
                         span,
--- a/crates/datapath/src/gate/response_body.rs
+++ b/crates/datapath/src/gate/response_body.rs
@@ -19,6 +19,7 @@
 
 use crate::gate::admission_queue::ExecutionSlot;
 use crate::gate::backend_pool::ConnectionLease;
+use crate::gate::crash_detector::CrashDetectorRun;
 use crate::gate::spans::SpanGuard;
 use crate::transport::Body;
 use crate::transport::BoxError;
@@ -27,6 +28,9 @@
 
 /// Resources that an execution holds until its response is complete.
 pub(crate) struct Execution {
+    pub(crate) run: CrashDetectorRun,
+    /// Whether a complete response shows that the request crashes no server.
+    pub(crate) is_answer: bool,
     pub(crate) lease: ConnectionLease,
     pub(crate) slot: ExecutionSlot,
     pub(crate) span: SpanGuard,
@@ -49,6 +53,9 @@
         {
             self.lease.return_to_pool();
         }
+        if self.is_answer {
+            self.run.end_with_answer();
+        }
     }
 
     /// Whether more bytes arrived than the announced content length.
@@ -56,9 +63,10 @@
         content_length_bytes.is_some_and(|length| self.lease.body_bytes() > length)
     }
 
-    fn fail(mut self) {
+    fn fail(mut self) -> CrashDetectorRun {
         self.slot.set_outcome(RunOutcome::Failed);
         self.span.end();
+        self.run
     }
 }
 
@@ -132,11 +140,19 @@
     fn fail(&mut self, error: BoxError) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
         let execution = self.lock().take();
         if let Some(execution) = execution {
-            execution.fail();
+            drop(execution.fail());
         }
         Poll::Ready(Some(Err(error)))
     }
 
+    /// Ends the execution after the connection to the backend server was lost.
+    fn fail_connection(&mut self) {
+        let execution = self.lock().take();
+        if let Some(execution) = execution {
+            execution.fail().check_in_background();
+        }
+    }
+
     /// Whether bytes after the announced content length invalidate the response.
     fn is_too_long(&self) -> bool {
         self.lock().as_ref().is_some_and(|e| {
@@ -172,7 +188,10 @@
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
-            Poll::Ready(Some(Err(e))) => this.fail(e.into()),
+            Poll::Ready(Some(Err(e))) => {
+                this.fail_connection();
+                Poll::Ready(Some(Err(e.into())))
+            }
             Poll::Ready(None) if this.complete() => Poll::Ready(None),
             Poll::Ready(None) => this.fail(DEADLINE_PASSED.into()),
             Poll::Pending if !this.is_complete && this.is_past_deadline(cx) => {
--- a/crates/datapath/tests/datapath/crashes.rs
+++ b/crates/datapath/tests/datapath/crashes.rs
@@ -178,3 +178,12 @@
     }
     assert_eq!(busy.crashes(), 0);
 }
+
+/// Guards against counting the head of a response as an answer whose body ends in a crash.
+#[tokio::test]
+async fn a_crash_in_the_body_of_a_response_counts() {
+    let fleet = Fleet::start().await;
+    fleet.crash_servers("/one/crash-in-body").await;
+    let later = send_again(&fleet, &fleet.entries, "/one/crash-in-body").await;
+    assert!(later <= MAX_LATER_SENDINGS, "{later} more servers crashed");
+}
--- a/crates/datapath/tests/datapath/support/crashing_backend.rs
+++ b/crates/datapath/tests/datapath/support/crashing_backend.rs
@@ -5,9 +5,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use futures_util::stream;
+use futures_util::StreamExt;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -33,7 +40,8 @@
 /// Backend server that crashes while it runs a request whose path contains `crash`, and starts again
 /// at the same address. It answers other requests with their request id. If the path contains `flaky`
 /// as well, it answers every second of these requests with an error before it runs it. Requests with
-/// `slow` in their path keep it busy for a while.
+/// `slow` in their path keep it busy for a while. It crashes in the middle of its response to a request
+/// with `crash-in-body` in its path.
 pub struct CrashingBackend {
     pub address: SocketAddr,
     crashes: Arc<AtomicUsize>,
@@ -90,6 +98,9 @@
     tokio::time::sleep(run_time).await;
     let is_flaky = path.contains("flaky");
     let is_error = is_flaky && FLAKY_REQUESTS.fetch_add(1, Ordering::SeqCst).is_multiple_of(2);
+    if path.contains("crash-in-body") {
+        return Ok(respond_in_part(request.headers(), crash));
+    }
     if path.contains("crash") && !is_error {
         crash.notify_one();
         std::future::pending::<()>().await;
@@ -103,3 +114,18 @@
     }
     Ok(response)
 }
+
+/// Response whose body ends in a crash of the server.
+fn respond_in_part(headers: &HeaderMap, crash: Arc<Notify>) -> Response<Body> {
+    let chunks = stream::once(async { Ok(Frame::data(Bytes::from_static(b"wei"))) });
+    let crash = stream::once(async move {
+        tokio::time::sleep(RUN_TIME).await;
+        crash.notify_one();
+        std::future::pending().await
+    });
+    let mut response = Response::new(StreamBody::new(chunks.chain(crash)).boxed_unsync());
+    if let Some(id) = headers.get("x-id") {
+        response.headers_mut().insert("x-id", id.clone());
+    }
+    response
+}
