--- a/crates/datapath/src/gate/request_gate.rs
+++ b/crates/datapath/src/gate/request_gate.rs
@@ -307,6 +307,10 @@
             self.check_quarantine(fingerprint)?;
             if !is_started {
                 self.record_attempt_start(attempt, deadline)?;
+                if let Some(fingerprint) = fingerprint {
+                    let tag = request_tag.as_ref().and_then(|tag| tag.to_str().ok());
+                    self.crashes.log_sending(fingerprint, tag.unwrap_or(""));
+                }
                 span.set_running();
                 self.backend_calls.record_run(repeat_share);
                 is_started = true;
--- a/crates/datapath/src/quarantine/shared_ledger.rs
+++ b/crates/datapath/src/quarantine/shared_ledger.rs
@@ -21,20 +21,23 @@
 /// Maximum number of records in the first heartbeat on a connection, about 3 KB.
 const MAX_SUSPECT_RECORDS: usize = 64;
 
-/// Maximum average rate of log lines about requests that ran at a crash, in lines per second.
+/// Maximum average rate of log lines about requests that ran at a crash, and about those that are
+/// sent after one, in lines per second each.
 const MAX_CRASH_LOG_LINES_PER_S: u32 = 10;
 
 /// Ledger of crashes that the entry, the gate and the peer connections of a node share.
 pub(crate) struct SharedLedger {
     ledger: Mutex<CrashLedger>,
     clock: Clock,
-    log: LogRateLimiter,
+    crash_log: LogRateLimiter,
+    sending_log: LogRateLimiter,
 }
 
 impl SharedLedger {
     pub(crate) fn new(clock: Clock) -> Self {
         let ledger = Mutex::new(CrashLedger::new(QuarantineSettings::default()));
-        Self { ledger, clock, log: LogRateLimiter::new(clock, MAX_CRASH_LOG_LINES_PER_S) }
+        let limiter = || LogRateLimiter::new(clock, MAX_CRASH_LOG_LINES_PER_S);
+        Self { ledger, clock, crash_log: limiter(), sending_log: limiter() }
     }
 
     fn lock(&self) -> MutexGuard<'_, CrashLedger> {
@@ -79,6 +82,27 @@
         }
     }
 
+    /// Logs that a request under which servers have crashed is sent to the backend server. The age
+    /// tells how old the knowledge is that let it pass.
+    pub(crate) fn log_sending(&self, fingerprint: RequestFingerprint, request: &str) {
+        let (crash_count, age_ms) = {
+            let ledger = self.lock();
+            let record = ledger.record(fingerprint).filter(|record| record.crash_count() > 0);
+            let Some(record) = record else { return };
+            (record.crash_count(), ledger.age_ms(fingerprint, self.clock.now_us()))
+        };
+        if let Some(unlogged) = self.sending_log.admit() {
+            info!(
+                request,
+                fingerprint = %fingerprint,
+                crash_count,
+                age_ms,
+                unlogged,
+                "gate: a request under which servers crashed is sent to the backend server"
+            );
+        }
+    }
+
     /// Drops the records that are no longer kept.
     pub(crate) fn expire(&self) {
         let mut ledger = self.lock();
@@ -91,8 +115,11 @@
     pub(crate) fn record_crash(&self, running: &[RequestFingerprint]) {
         let crash = rand::random();
         let suspects = self.lock().record_crash(crash, running, self.clock.now_us());
+        if suspects.is_empty() {
+            info!(crash, "gate: the backend server crashed and no request is charged");
+        }
         for suspect in &suspects {
-            let Some(unlogged) = self.log.admit() else { continue };
+            let Some(unlogged) = self.crash_log.admit() else { continue };
             let count = self.lock().record(*suspect).map_or(0, |record| record.crash_count());
             info!(
                 crash,
--- a/crates/policy/src/quarantine/crash_ledger.rs
+++ b/crates/policy/src/quarantine/crash_ledger.rs
@@ -149,6 +149,12 @@
         }
     }
 
+    /// Time since the record of a request changed, in ms.
+    pub fn age_ms(&self, fingerprint: RequestFingerprint, now_us: u64) -> Option<u64> {
+        let entry = self.entries.get(&fingerprint)?;
+        Some(now_us.saturating_sub(entry.changed_us) / 1_000)
+    }
+
     /// What is known of a request.
     pub fn record(&self, fingerprint: RequestFingerprint) -> Option<&CrashRecord> {
         self.entries.get(&fingerprint).map(|entry| &entry.record)
