--- a/crates/datapath/tests/datapath/silent_connections.rs
+++ b/crates/datapath/tests/datapath/silent_connections.rs
@@ -12,6 +12,7 @@
 use futures_util::future::join_all;
 use socket2::SockFilter;
 use socket2::SockRef;
+use tarragon_model::member::BackendState;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -255,3 +256,24 @@
     assert_eq!(backend.count(), before + 1);
     assert_eq!(entry.metrics.read("route.connection_replaced"), 0);
 }
+
+/// Guards against work for a server that leaves while the connections to its node are silent, so that
+/// other nodes hear of it late.
+#[tokio::test]
+async fn a_server_that_leaves_behind_silent_connections_gets_no_more_requests() {
+    let leaving = start_answering_backend().await;
+    let (cluster, owner, relay, entry) =
+        start_entry_and_relay(configured_cluster(), &leaving).await;
+    let staying = start_answering_backend().await;
+    let _other = cluster.start_node("other", Some(staying.address)).await;
+    for _ in 0..4 {
+        assert_eq!(send(&entry, "/two/7").await.status.as_u16(), 200);
+    }
+    relay.freeze_connections();
+    let before = leaving.count();
+    owner.set_status(|status| status.state = BackendState::Draining);
+    for reply in join_all((0..8).map(|_| send_within_bound(&entry, "/two/7"))).await {
+        assert_eq!((reply.status.as_u16(), reply.reason()), (200, ""));
+    }
+    assert_eq!(leaving.count(), before);
+}
