Recognise a request whether its body comes with a length or in chunks

A body of more than 64 KB counted with its length only, and one in chunks not at all. The same crashing request counted apart when it came in chunks, and all requests in chunks to one path shared one record: the answer of one cleared the one that crashes its servers, as did the answer of another upload of that length.

a_request_is_known_whether_its_body_has_a_length_or_comes_in_chunks failed before (502 from a crashed server instead of 503).

--- a/crates/datapath/src/entry/outgoing_call.rs
+++ b/crates/datapath/src/entry/outgoing_call.rs
@@ -100,24 +100,17 @@
     }
 }
 
-/// Fingerprint of a request. A body that is streamed counts with its length only.
+/// Fingerprint of a request. A body counts with its first bytes, so that it does not matter whether it
+/// comes with a length or in chunks.
 fn fingerprint(head: &Parts, body: &ReplayBody, inbound: &InboundRequest) -> RequestFingerprint {
     let host = head.headers.get(HOST).map_or(&[][..], HeaderValue::as_bytes);
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let length;
-    let content = match body {
-        ReplayBody::Buffered(bytes) => bytes.as_ref(),
-        ReplayBody::Streamed(_, hint) => {
-            length = hint.exact().unwrap_or(u64::MAX).to_be_bytes();
-            &length
-        }
-    };
     let caller = inbound.calling_service.as_bytes();
     RequestFingerprint::of(&[
         head.method.as_str().as_bytes(),
         host,
         path.as_bytes(),
         caller,
-        content,
+        body.prefix(),
     ])
 }
--- a/crates/datapath/tests/datapath/crashes.rs
+++ b/crates/datapath/tests/datapath/crashes.rs
@@ -3,6 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use futures_util::stream;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use tarragon_datapath::transport::Body;
+use tarragon_datapath::transport::BoxError;
+
 use crate::routed::configured_cluster;
 use crate::routed::send;
 use crate::routed::wait_until_routed;
@@ -187,3 +197,25 @@
     let later = send_again(&fleet, &fleet.entries, "/one/crash-in-body").await;
     assert!(later <= MAX_LATER_SENDINGS, "{later} more servers crashed");
 }
+
+/// Sends a request with its body in chunks.
+async fn send_in_chunks(node: &Node, path: &str) -> StatusCode {
+    let chunks = ["12", " kg"].map(|text| Ok::<_, BoxError>(Frame::data(Bytes::from(text))));
+    let body: Body = StreamBody::new(stream::iter(chunks)).boxed_unsync();
+    let request = Request::post(path).header("host", "counter.test");
+    let request = request.header("x-host", "orchard.example").header("x-id", "7");
+    let response = crate::support::send(node.caller, request.body(body).unwrap()).await;
+    response.unwrap().status()
+}
+
+/// Guards against counting a request apart when its body comes in chunks.
+#[tokio::test]
+async fn a_request_is_known_whether_its_body_has_a_length_or_comes_in_chunks() {
+    let fleet = Fleet::start().await;
+    fleet.crash_servers("/one/crash").await;
+    let before = fleet.crashes();
+    for entry in &fleet.entries {
+        assert_eq!(send_in_chunks(entry, "/one/crash").await.as_u16(), 503);
+    }
+    assert_eq!(fleet.crashes(), before);
+}
