Exchange heartbeats in the simulation of crashing requests, and take other seeds

Forty seeds by hand on the mended code found seed 18 with 5 late sendings; 3 are allowed. The simulated nodes spoke only when they had calls, while real ones also exchange heartbeats every 500 ms; with these the seed has none.

--- a/crates/policy/tests/crashing_requests/fleet.rs
+++ b/crates/policy/tests/crashing_requests/fleet.rs
@@ -17,6 +17,9 @@
 /// Number of records in a message between nodes, as on the data path.
 const MAX_NEWS_RECORDS: usize = 64;
 
+/// Interval between heartbeats on the connections to each gate, as on the data path.
+const HEARTBEAT_INTERVAL_MS: u64 = 500;
+
 /// Time that a crashing request runs before its server crashes.
 const TIME_TO_CRASH_MS: u64 = 40;
 
@@ -128,6 +131,9 @@
                 self.crash(server, None);
             }
         }
+        if self.now_ms.is_multiple_of(HEARTBEAT_INTERVAL_MS) {
+            self.exchange_heartbeats();
+        }
         for request in 0..self.play.crashing {
             if self.rng.random_bool(STEP_MS as f64 / self.play.crashing_interval_ms as f64) {
                 self.arrive(RequestFingerprint(request));
@@ -161,7 +167,7 @@
         if self.servers[target].down_until_ms > self.now_ms {
             return;
         }
-        self.tell(entry, target, fingerprint);
+        self.tell(entry, target, Some(fingerprint));
         let ledger = &self.ledgers[target];
         let is_suspect = |fingerprint| -> bool { ledger.suspicion(fingerprint) >= Suspicion::High };
         let runs_suspect =
@@ -169,7 +175,7 @@
         let is_quarantined = ledger.suspicion(fingerprint) == Suspicion::Quarantined;
         if is_quarantined || (is_suspect(fingerprint) && runs_suspect) {
             self.record_refusal(fingerprint);
-            self.tell(target, entry, fingerprint);
+            self.tell(target, entry, Some(fingerprint));
             return;
         }
         let is_crashing = self.is_crashing(fingerprint);
@@ -209,7 +215,7 @@
         for run in ended {
             let now_us = self.now_us();
             self.ledgers[server].record_answer(run.fingerprint, now_us);
-            self.tell(server, run.entry, run.fingerprint);
+            self.tell(server, run.entry, Some(run.fingerprint));
         }
     }
 
@@ -223,7 +229,7 @@
         let now_us = self.now_us();
         self.ledgers[server].record_crash(self.rng.random(), &running, now_us);
         for run in lost {
-            self.tell(server, run.entry, run.fingerprint);
+            self.tell(server, run.entry, Some(run.fingerprint));
             let may_repeat = self.ledgers[run.entry].suspicion(run.fingerprint) < Suspicion::High;
             if may_repeat && run.repeats < MAX_REPEATS {
                 self.send(run.fingerprint, run.entry, run.repeats + 1);
@@ -231,10 +237,19 @@
         }
     }
 
-    /// Tells one node what another knows, with a message about a request.
-    fn tell(&mut self, from: usize, to: usize, about: RequestFingerprint) {
+    fn exchange_heartbeats(&mut self) {
+        for entry in 0..self.play.nodes {
+            for gate in (0..self.servers.len()).filter(|gate| *gate != entry) {
+                self.tell(entry, gate, None);
+                self.tell(gate, entry, None);
+            }
+        }
+    }
+
+    /// Tells one node what another knows, with a message that may be about a request.
+    fn tell(&mut self, from: usize, to: usize, about: Option<RequestFingerprint>) {
         let now_us = self.now_us();
-        let news = self.ledgers[from].news(Some(about), MAX_NEWS_RECORDS, now_us);
+        let news = self.ledgers[from].news(about, MAX_NEWS_RECORDS, now_us);
         for told in news {
             self.ledgers[to].merge_told(&told, now_us);
         }
--- a/crates/policy/tests/crashing_requests/main.rs
+++ b/crates/policy/tests/crashing_requests/main.rs
@@ -11,7 +11,8 @@
 /// that are denied.
 const HARMLESS_PER_REFUSAL: usize = 500;
 
-const SEEDS: u64 = 2;
+/// Seeds of a run in CI. The code before the records were told evenly fails with them.
+const SEEDS: [u64; 2] = [3, 4];
 
 /// The service `ripewatch` of the users' grown mesh, with a few crashing requests.
 const CALM: Play = Play {
@@ -26,7 +27,7 @@
 };
 
 fn check(play: Play) {
-    for seed in 0..SEEDS {
+    for seed in SEEDS {
         let outcome = fleet::run(play, seed);
         assert!(outcome.most_late_sendings <= MAX_LATE_SENDINGS, "seed {seed}: {outcome:?}");
         let max_refused = outcome.harmless / HARMLESS_PER_REFUSAL;
