--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,5 +1,5 @@
-//! A node is killed right after it has acknowledged that its backend leaves, and is started again. A
-//! ping that the backend sent before it left arrives late. See claim.txt.
+//! A node is stopped as planned. A backend on its host, which goes on, makes calls through it late in the
+//! grace time. See claim.txt.
 
 #[path = "../standins/backend.rs"]
 mod backend;
@@ -8,9 +8,6 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
-use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -27,20 +24,26 @@
 use deployment::BROKEN;
 use deployment::CONTACT_S;
 use deployment::COULD_NOT_RUN;
-use deployment::DRAIN_S;
 use deployment::HELD;
 use deployment::OUTBOUND_PORT;
 
-/// Time from the end of the node's process to its next start.
-const RESTART_S: f64 = 0.5;
-/// Time by which the ping is late.
-const PING_DELAY_S: f64 = 4.0;
-/// Time after the ack at which the backend ends: drainS and a little longer.
-const END_S: f64 = 4.45;
-/// Number of the core hosts, which come first; then the host of the clients, and those of the backends.
+/// Time between SIGTERM and SIGKILL.
+const GRACE_S: f64 = 6.0;
+/// Latest time after SIGTERM at which a request may be sent whose cut at the end of the grace time is
+/// excused.
+const EXCUSED_S: f64 = 3.0;
+/// Work of a request before its call, and of the call.
+const WORK_MS: u64 = 4_200;
+const CALL_WORK_MS: u64 = 1_400;
+/// Number of requests, which are sent from shortly before SIGTERM on, and the time between two of them.
+const REQUESTS: usize = 12;
+const INTERVAL_MS: u64 = 100;
+/// Number of the core hosts, which come first; then the host of the clients, the one that is stopped, and
+/// one with a backend that serves the calls.
 const CORES: usize = 3;
 const ENTRY: usize = CORES;
-const LEAVING: usize = CORES + 1;
+const STOPPED: usize = CORES + 1;
+const CALLED: usize = CORES + 2;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -57,156 +60,131 @@
 
 fn play(record: &Record, is_troubled: bool) -> i32 {
     record.line(format!("disruption: {}", if is_troubled { "yes" } else { "no (TROUBLE=0)" }));
-    let sidecars = [("counter", "hall-a"), ("ovenctl", "hall-a"), ("ovenctl", "hall-b")];
+    let sidecars = [("planner", "hall-a"), ("counter", "hall-a"), ("ovenctl", "hall-a")];
     let mut deployment = Deployment::new(record, &["hall-a", "hall-b", "annex"], &sidecars);
     deployment.start_all();
-    let route = |prefix: &'static str, kind: &'static str, priority: u32| RouteSpec {
+    let route = |prefix: &'static str, kind: &'static str, service: &'static str| RouteSpec {
         prefix,
         kind,
-        timeout_s: 5.0,
-        service: "ovenctl",
+        timeout_s: 6.0,
+        service,
         attempts: 2,
-        priority,
+        priority: 0,
     };
-    let routes = [route("bake", "non_idempotent", 0), route("log", "idempotent", 2)];
-    let document = configuration("r1", "0", &routes, &["counter", "ovenctl"]);
+    let routes =
+        [route("job", "idempotent", "counter"), route("bake", "non_idempotent", "ovenctl")];
+    let document = configuration("r1", "0", &routes, &["planner", "counter", "ovenctl"]);
     if !deployment.configure(&document, Duration::from_secs(20)) {
         return COULD_NOT_RUN;
     }
     let events = format!("{}/events.txt", std::env::var("REVIEW_TEMP").unwrap_or_default());
-    let server = |index: usize| {
+    let outbound = deployment.hosts[STOPPED].address(OUTBOUND_PORT);
+    let server = |index: usize, id: &str, work_ms: u64, call: String| {
         let host = &deployment.hosts[index];
-        Server::new(
-            BackendSettings {
-                listen: host.address(BACKEND_PORT),
-                id: format!("i-ovenctl-{}", index - ENTRY),
-                slots: 99,
-                work_ms: 250,
-                crash_path: String::new(),
-                events: events.clone(),
-            },
-            host,
-        )
+        let settings = BackendSettings {
+            listen: host.address(BACKEND_PORT),
+            id: id.into(),
+            slots: 72,
+            work_ms,
+            crash_path: String::new(),
+            call,
+            events: events.clone(),
+        };
+        Server::new(settings, host)
     };
-    let (mut leaving, mut staying) = (server(LEAVING), server(LEAVING + 1));
-    let mut step_both = |leaving: &mut Server, seconds: f64| {
+    let mut caller = server(STOPPED, "i-counter-1", WORK_MS, format!("{outbound} /bake/"));
+    let mut called = server(CALLED, "i-ovenctl-1", CALL_WORK_MS, String::new());
+    let mut step_both = |seconds: f64| {
         let end = Instant::now() + Duration::from_secs_f64(seconds);
         while Instant::now() < end {
-            leaving.step(record, None);
-            staying.step(record, None);
+            caller.step(record, None);
+            called.step(record, None);
             thread::sleep(Duration::from_millis(10));
         }
     };
-    step_both(&mut leaving, 1.0);
-    if !deployment.wait_ready(ENTRY, Duration::from_secs(20)) {
+    step_both(1.0);
+    let limit = Duration::from_secs(20);
+    if !deployment.wait_ready(ENTRY, limit) || !deployment.wait_ready(STOPPED, limit) {
         return COULD_NOT_RUN;
     }
-    let is_ended = Arc::new(AtomicBool::new(false));
-    let outbound = deployment.hosts[ENTRY].address(OUTBOUND_PORT);
-    let clients = send_requests(outbound, record, &is_ended);
-    step_both(&mut leaving, CONTACT_S + 1.5);
+    step_both(CONTACT_S + 1.5);
 
-    // The backend sends a ping, which is on its way for some seconds, and then leaves.
-    leaving.sequence += 1;
-    let late_sequence = leaving.sequence;
-    record.line(format!("backend {} sends ping {late_sequence}", leaving.settings.id));
-    let ping_at = Instant::now() + Duration::from_secs_f64(PING_DELAY_S);
-    leaving.has_left = true;
-    step_both(&mut leaving, 0.1);
-    let status = leaving.leave();
-    let acked_at = Instant::now();
-    let acked_ms = unix_ms();
-    if status != 200 {
-        record.line(format!("the departure got status {status}"));
-        return COULD_NOT_RUN;
-    }
-    let mut restarted_ms = 0;
+    let entry = deployment.hosts[ENTRY].address(OUTBOUND_PORT);
+    let clients = send_requests(entry, record);
+    step_both(0.2);
+    let stopped_ms = unix_ms();
     if is_troubled {
-        deployment.kill(LEAVING);
+        record.line(format!("SIGTERM to the process of {}", deployment.hosts[STOPPED].name));
+        deployment::signal(deployment.hosts[STOPPED].pid(), "TERM");
+    }
+    let end = Instant::now() + Duration::from_secs_f64(GRACE_S);
+    while Instant::now() < end && deployment.is_running(STOPPED) {
+        step_both(0.02);
     }
-    record.line(format!(
-        "the node of {} has acknowledged that the backend leaves",
-        leaving.settings.id
-    ));
     if is_troubled {
-        step_both(&mut leaving, RESTART_S);
-        deployment.start(LEAVING, false);
-        restarted_ms = unix_ms();
+        deployment.kill(STOPPED);
     }
-    let left_s = |at: Instant| at.saturating_duration_since(Instant::now()).as_secs_f64();
-    step_both(&mut leaving, left_s(ping_at));
-    let status = leaving.send_ping(late_sequence);
-    record.line(format!("ping {late_sequence} arrives late and gets status {status}"));
-    step_both(&mut leaving, left_s(acked_at + Duration::from_secs_f64(END_S)));
-    leaving.end();
-    record.line(format!("backend {} ends", leaving.settings.id));
-    step_both(&mut leaving, 1.0);
-    is_ended.store(true, Ordering::SeqCst);
-    let lost = clients.join().unwrap_or(0);
-    record.line(format!("clients: {lost} requests that may have run got no answer of a backend"));
-    judge(record, &events, acked_ms, restarted_ms)
+    step_both(3.0);
+    let _ = clients.join();
+    judge(record, &events, stopped_ms)
 }
 
-fn judge(record: &Record, events: &str, acked_ms: u64, restarted_ms: u64) -> i32 {
+fn judge(record: &Record, events: &str, stopped_ms: u64) -> i32 {
     let all = backend::read_events(events);
-    let runs: Vec<_> =
-        all.iter().filter(|event| event.what == "runs" && event.backend == "i-ovenctl-1").collect();
-    record.line(format!("the leaving backend ran {} requests in all", runs.len()));
-    let first_ms = acked_ms + (DRAIN_S * 1_000.0) as u64;
-    let in_touch_ms =
-        restarted_ms + if restarted_ms == 0 { 0 } else { (CONTACT_S * 1_000.0) as u64 };
-    let late: Vec<_> = runs.iter().filter(|event| event.at_ms > first_ms).collect();
-    for event in &late {
+    let (mut sent, mut cut) = (0, 0);
+    for call in all.iter().filter(|event| event.what == "calls") {
+        let of_call = |what: &str| all.iter().find(|e| e.what == what && e.attempt == call.attempt);
+        let sent_s = (call.at_ms as f64 - stopped_ms as f64) / 1_000.0;
+        let Some(ended) = of_call("call-ended") else { return COULD_NOT_RUN };
+        let has_run = of_call("runs").is_some();
         record.line(format!(
-            "{} reached the backend {} ms after the ack, {} ms after the node was started",
-            event.attempt,
-            event.at_ms - acked_ms,
-            event.at_ms.saturating_sub(restarted_ms)
+            "call {} sent {sent_s:.3} s after SIGTERM, {}: {}",
+            call.attempt,
+            if has_run { "ran" } else { "did not run" },
+            ended.detail
         ));
+        sent += 1;
+        let number = |name: &str| -> u64 {
+            let parts = ended.detail.split([' ', '=']).collect::<Vec<_>>();
+            parts.windows(2).find(|p| p[0] == name).and_then(|p| p[1].parse().ok()).unwrap_or(0)
+        };
+        let is_before_deadline = number("waited_ms") + 50 < number("deadline_ms");
+        let is_excused = sent_s <= EXCUSED_S;
+        cut += usize::from(number("status") == 0 && has_run && is_before_deadline && !is_excused);
     }
-    let in_touch = late.iter().filter(|event| event.at_ms > in_touch_ms).count();
     record.line(format!(
-        "{} requests reached the backend later than drainS after the ack; {in_touch} of them were \
-         sent on by machines in touch",
-        late.len()
+        "of {sent} calls, {cut} had been read and passed on to a backend and ended without an answer, \
+         before their deadline, although they were sent later than {EXCUSED_S} s after SIGTERM"
     ));
-    if runs.is_empty() {
+    if sent == 0 {
         COULD_NOT_RUN
-    } else if in_touch > 0 {
+    } else if cut > 0 {
         BROKEN
     } else {
         HELD
     }
 }
 
-/// Sends requests, half of which may run only once, and counts those that fail without a promise.
-fn send_requests(
-    outbound: SocketAddr,
-    record: &Record,
-    is_ended: &Arc<AtomicBool>,
-) -> thread::JoinHandle<usize> {
-    let (record, is_ended) = (record.clone(), Arc::clone(is_ended));
+/// Sends requests to the backend on the other host, one after another.
+fn send_requests(entry: SocketAddr, record: &Record) -> thread::JoinHandle<()> {
+    let record = record.clone();
     thread::spawn(move || {
         let mut senders = Vec::new();
-        let mut number = 0;
-        while !is_ended.load(Ordering::SeqCst) {
-            number += 1;
-            let class = if number % 2 == 0 { "bake" } else { "log" };
-            let (record, id) = (record.clone(), format!("{class}{number:05}"));
+        for number in 1..=REQUESTS {
+            let (record, id) = (record.clone(), format!("job{number:03}"));
             senders.push(thread::spawn(move || {
                 let head = format!(
-                    "POST /{class}/{id} HTTP/1.1\r\nHost: oven.example\r\nX-Attempt-Id: {id}\r\n\
-                     X-Deadline-Ms: 5000"
+                    "GET /job/{id} HTTP/1.1\r\nHost: oven.example\r\nX-Attempt-Id: {id}\r\n\
+                     X-Deadline-Ms: 6000"
                 );
-                let answer = exchange(outbound, &head, b"start", Duration::from_secs(6));
+                let answer = exchange(entry, &head, b"", Duration::from_secs(7));
                 let status = answer.map_or(0, |answer| answer.status);
-                if status != 200 {
-                    record.line(format!("client: request {id} got {status}"));
-                }
-                !matches!(status, 200 | 408 | 421 | 429 | 503)
+                record.line(format!("client: request {id} got {status}"));
             }));
-            thread::sleep(Duration::from_millis(50));
+            thread::sleep(Duration::from_millis(INTERVAL_MS));
+        }
+        for sender in senders {
+            let _ = sender.join();
         }
-        senders.into_iter().filter_map(|sender| sender.join().ok()).filter(|lost| *lost).count()
     })
 }
--- a/review/standins/backend.rs
+++ b/review/standins/backend.rs
@@ -20,6 +20,7 @@
 
 use crate::deployment::decode_chunks;
 use crate::deployment::deregister;
+use crate::deployment::exchange;
 use crate::deployment::find;
 use crate::deployment::parse_headers;
 use crate::deployment::unix_ms;
@@ -39,6 +40,9 @@
     pub work_ms: u64,
     /// A request whose path contains this crashes the process as it begins to run; empty for none.
     pub crash_path: String,
+    /// Address of the node on the own host, and the path of the call that each run makes after its work;
+    /// empty for none.
+    pub call: String,
     pub events: String,
 }
 
@@ -52,6 +56,7 @@
         .arg(settings.slots.to_string())
         .arg(settings.work_ms.to_string())
         .arg(&settings.crash_path)
+        .arg(&settings.call)
         .arg(&settings.events)
         .stdin(Stdio::null())
         .stdout(Stdio::null())
@@ -203,8 +208,8 @@
 
 /// Runs a backend with the arguments that [`spawn`] gives.
 pub fn run(arguments: &[String]) -> ! {
-    let [listen, id, slots, work_ms, crash_path, events] = arguments else {
-        panic!("six arguments");
+    let [listen, id, slots, work_ms, crash_path, call, events] = arguments else {
+        panic!("seven arguments");
     };
     let settings = BackendSettings {
         listen: listen.parse().expect("an address"),
@@ -212,6 +217,7 @@
         slots: slots.parse().expect("a number"),
         work_ms: work_ms.parse().expect("a number"),
         crash_path: crash_path.clone(),
+        call: call.clone(),
         events: events.clone(),
     };
     let listener = bind(settings.listen);
@@ -330,7 +336,22 @@
         backend.event("crashes", &attempt, &path, &detail);
         std::process::exit(1);
     }
+    let arrived = Instant::now();
     let is_dropped = !work(stream, Duration::from_millis(settings.work_ms));
+    if !is_dropped && !settings.call.is_empty() {
+        let status = make_call(backend, request, &attempt, arrived);
+        if status != 200 {
+            backend.running.fetch_sub(1, Ordering::SeqCst);
+            backend.event("failed", &attempt, &path, &detail);
+            return send(
+                stream,
+                "500 Internal Server Error",
+                &attempt,
+                "X-Response-Seal: s.1\r\n",
+                b"",
+            );
+        }
+    }
     backend.running.fetch_sub(1, Ordering::SeqCst);
     if is_dropped {
         backend.event("dropped", &attempt, &path, &detail);
@@ -344,6 +365,28 @@
     send(stream, "200 OK", &attempt, &extra, body.as_bytes())
 }
 
+/// Makes the call of a run through the node on the own host. It expires at the deadline of the run.
+/// Returns the status, or 0 if the connection ends without a complete answer.
+fn make_call(backend: &Backend, request: &Request, attempt: &str, arrived: Instant) -> u16 {
+    let Some((outbound, path)) = backend.settings.call.split_once(' ') else { return 0 };
+    let outbound: SocketAddr = outbound.parse().expect("an address");
+    let deadline_ms: u64 = request.header("x-deadline-ms").parse().unwrap_or(0);
+    let left_ms = deadline_ms.saturating_sub(arrived.elapsed().as_millis() as u64);
+    let (id, path) = (format!("c-{attempt}"), format!("{path}{attempt}"));
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: oven.example\r\nX-Attempt-Id: {id}\r\n\
+         X-Deadline-Ms: {left_ms}"
+    );
+    backend.event("calls", &id, &path, &format!("deadline_ms={left_ms}"));
+    let started = Instant::now();
+    let answer = exchange(outbound, &head, b"call", Duration::from_millis(left_ms));
+    let status = answer.filter(|answer| answer.is_complete).map_or(0, |answer| answer.status);
+    let waited_ms = started.elapsed().as_millis();
+    let detail = format!("status={status} waited_ms={waited_ms} deadline_ms={left_ms}");
+    backend.event("call-ended", &id, &path, &detail);
+    status
+}
+
 /// Works for a time. Returns false if the connection is closed meanwhile.
 fn work(stream: &TcpStream, time: Duration) -> bool {
     let end = Instant::now() + time;
--- a/review/standins/poison.rs
+++ b/review/standins/poison.rs
@@ -112,6 +112,7 @@
                     slots: 99,
                     work_ms: 220,
                     crash_path: crash_path.into(),
+                    call: String::new(),
                     events: events.clone(),
                 },
                 host,
