--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -46,7 +46,7 @@
 
 /// Sends a signal to a process that this program started.
 pub fn signal(pid: u32, name: &str) {
-    let _ = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).status();
+    let _ = Command::new("sh").arg("-c").arg(format!("kill -{name} {pid}")).status();
 }
 
 /// Milliseconds since 1970.
