--- a/crates/consensus/src/driver/replica_driver.rs
+++ b/crates/consensus/src/driver/replica_driver.rs
@@ -316,6 +316,9 @@
             if current.role != status.role || current.term != status.term {
                 tracing::info!("log: {} is {:?} in term {}", status.id, status.role, status.term);
             }
+            for lost in status.lost_members.difference(&current.lost_members) {
+                tracing::info!("log: {lost} has lost its disk, as its host reports");
+            }
             *current = status;
             is_new
         });
--- a/crates/consensus/src/protocol/cluster_configuration.rs
+++ b/crates/consensus/src/protocol/cluster_configuration.rs
@@ -47,4 +47,41 @@
     pub fn is_majority(&self, is_counted: impl Fn(&ReplicaId) -> bool) -> bool {
         self.voters.iter().filter(|id| is_counted(id)).count() >= self.quorum()
     }
+
+    /// Whether the voters for which `is_counted` holds are a quorum.
+    ///
+    /// Of an even number of voters, one of which is lost, half suffices: the others are an odd
+    /// number, of which every majority of all voters contains half. See `docs/design.md`, section
+    /// 5.2.1.
+    pub fn is_quorum(
+        &self,
+        lost_voter: Option<&ReplicaId>,
+        is_counted: impl Fn(&ReplicaId) -> bool,
+    ) -> bool {
+        let Some(lost_voter) = self.counted_loss(lost_voter) else {
+            return self.is_majority(is_counted);
+        };
+        let count = self.voters.iter().filter(|id| *id != lost_voter && is_counted(id)).count();
+        count >= self.voters.len() / 2
+    }
+
+    /// The largest index that a quorum has reached, given the index of each voter; `None` without
+    /// voters.
+    pub fn quorum_index(
+        &self,
+        lost_voter: Option<&ReplicaId>,
+        index_of: impl Fn(&ReplicaId) -> u64,
+    ) -> Option<u64> {
+        let lost_voter = self.counted_loss(lost_voter);
+        let counted = self.voters.iter().filter(|id| Some(*id) != lost_voter);
+        let mut indices: Vec<u64> = counted.map(index_of).collect();
+        indices.sort_unstable();
+        let quorum = if lost_voter.is_some() { self.voters.len() / 2 } else { self.quorum() };
+        indices.len().checked_sub(quorum).map(|position| indices[position])
+    }
+
+    /// The lost voter, if it makes a quorum smaller.
+    fn counted_loss<'a>(&self, lost_voter: Option<&'a ReplicaId>) -> Option<&'a ReplicaId> {
+        lost_voter.filter(|id| self.voters.len().is_multiple_of(2) && self.voters.contains(*id))
+    }
 }
--- a/crates/consensus/src/protocol/raft_message.rs
+++ b/crates/consensus/src/protocol/raft_message.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -29,11 +31,15 @@
         last_index: u64,
         /// Term of that entry.
         last_term: u64,
+        /// Members whose disks the candidate knows to be lost.
+        lost_members: BTreeSet<ReplicaId>,
     },
     /// Reply to a pre-vote request. If it is granted, the message has the requested term.
     PreVoteReply {
         /// Whether the sender would vote for the receiver.
         is_granted: bool,
+        /// Lost members that the request named.
+        lost_members: BTreeSet<ReplicaId>,
     },
     /// Requests a vote (section 3.4).
     Vote {
@@ -41,11 +47,15 @@
         last_index: u64,
         /// Term of that entry.
         last_term: u64,
+        /// Members whose disks the candidate knows to be lost.
+        lost_members: BTreeSet<ReplicaId>,
     },
     /// Reply to a vote request.
     VoteReply {
         /// Whether the sender votes for the receiver.
         is_granted: bool,
+        /// Lost members that the request named.
+        lost_members: BTreeSet<ReplicaId>,
     },
     /// Entries to append, or a heartbeat if there are none (section 3.5).
     Append {
@@ -95,6 +105,11 @@
         /// Whether the snapshot is installed and stored.
         is_installed: bool,
     },
+    /// Reply of a replica with an empty disk to a message for an earlier disk of its host.
+    LossReport {
+        /// Identity to which the message was addressed. It cannot take part any more.
+        lost: ReplicaId,
+    },
 }
 
 impl MessageBody {
--- a/crates/consensus/src/protocol/snapshot.rs
+++ b/crates/consensus/src/protocol/snapshot.rs
@@ -4,7 +4,7 @@
 use crate::protocol::ClusterConfiguration;
 use crate::protocol::ReplicaId;
 
-/// Term, vote and log identity, which must survive a restart.
+/// Term, vote, log identity and what quorums depend on, which must survive a restart.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HardState {
     /// Latest term that the replica has seen.
@@ -13,6 +13,9 @@
     pub voted_for: Option<ReplicaId>,
     /// Identity of the log that the replica belongs to; 0 if it belongs to none.
     pub log_id: u64,
+    /// Entry of the latest configuration that is known to be committed; 0 if none is. Without it, a
+    /// replica that starts again would need the voters before that configuration as well.
+    pub committed_configuration_index: u64,
 }
 
 /// State of the state machine after the entry at `index`, with the term and members that the log
--- a/crates/consensus/src/raft/election.rs
+++ b/crates/consensus/src/raft/election.rs
@@ -10,10 +10,19 @@
 use crate::protocol::ReplicaId;
 use crate::raft::leader_state::FollowerProgress;
 use crate::raft::leader_state::LeaderState;
+use crate::raft::replica::GrantedVotes;
 use crate::raft::replica::Replica;
 use crate::raft::replica::RoleState;
 use crate::raft::RequestOutcome;
 
+/// How the votes that a candidate received decide its election.
+enum VoteQuorum {
+    /// A majority of the voters voted for it.
+    Majority,
+    /// Half of an even number of voters did, all of which were told that this voter is lost.
+    WithoutLostVoter(ReplicaId),
+}
+
 impl Replica {
     pub(super) fn tick(&mut self) {
         if matches!(self.role, RoleState::Leader(_)) {
@@ -63,13 +72,16 @@
         if self.settings.injected_faults.skip_pre_vote {
             return self.start_election();
         }
-        self.role = RoleState::PreCandidate { granted_by: BTreeSet::from([self.own_member_id()]) };
-        if self.has_vote_majority() {
+        let own_vote = (self.own_member_id(), self.lost_members.clone());
+        self.role = RoleState::PreCandidate { granted_by: GrantedVotes::from([own_vote]) };
+        if self.has_vote_quorum() {
             return self.start_election();
         }
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
         for voter in self.other_voters() {
-            self.send_now(voter, self.term + 1, MessageBody::PreVote { last_index, last_term });
+            let lost_members = self.lost_members.clone();
+            let body = MessageBody::PreVote { last_index, last_term, lost_members };
+            self.send_now(voter, self.term + 1, body);
         }
     }
 
@@ -78,43 +90,71 @@
         self.set_term(self.term + 1, Some(self.id.clone()));
         // `persist` issues this number at the end of the step.
         let vote_sequence = self.outbox.last_issued() + 1;
-        self.role = RoleState::Candidate { granted_by: BTreeSet::new(), vote_sequence };
+        self.role = RoleState::Candidate { granted_by: GrantedVotes::new(), vote_sequence };
         self.reset_election_timer();
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
         for voter in self.other_voters() {
-            self.send_after_storage(voter, self.term, MessageBody::Vote { last_index, last_term });
+            let lost_members = self.lost_members.clone();
+            let body = MessageBody::Vote { last_index, last_term, lost_members };
+            self.send_after_storage(voter, self.term, body);
         }
     }
 
     /// Identity under which this replica is listed in the configuration.
-    fn own_member_id(&self) -> ReplicaId {
-        self.matching_member(&self.id).unwrap_or_else(|| self.id.clone())
+    pub(super) fn own_member_id(&self) -> ReplicaId {
+        self.counted_id(&self.id)
     }
 
     fn other_voters(&self) -> Vec<ReplicaId> {
         let own_id = self.own_member_id();
-        self.configuration.voters.iter().filter(|id| **id != own_id).cloned().collect()
+        let configurations = self.quorum_configurations();
+        let voters = configurations.iter().flat_map(|members| &members.voters);
+        let others: BTreeSet<&ReplicaId> = voters.filter(|id| **id != own_id).collect();
+        others.into_iter().cloned().collect()
     }
 
-    /// Whether the votes received so far are a majority.
-    fn has_vote_majority(&self) -> bool {
-        match &self.role {
-            RoleState::PreCandidate { granted_by } | RoleState::Candidate { granted_by, .. } => {
-                self.configuration.is_majority(|id| granted_by.contains(id))
-            }
-            _ => false,
+    /// The quorum of the votes received so far, if there is one.
+    fn vote_quorum(&self) -> Option<VoteQuorum> {
+        let (RoleState::PreCandidate { granted_by } | RoleState::Candidate { granted_by, .. }) =
+            &self.role
+        else {
+            return None;
+        };
+        if self.is_quorum(None, |id| granted_by.contains_key(id)) {
+            return Some(VoteQuorum::Majority);
         }
+        // A voter that was told of a loss votes after it. Otherwise two candidates might each win by
+        // the vote of a voter that the other one takes for lost.
+        let knows_loss = |id: &ReplicaId, lost: &ReplicaId| {
+            let is_known = |known: &BTreeSet<ReplicaId>| {
+                known.contains(lost) || self.settings.injected_faults.count_votes_before_loss
+            };
+            granted_by.get(id).is_some_and(is_known)
+        };
+        let decides = |lost: &&ReplicaId| self.is_quorum(Some(*lost), |id| knows_loss(id, lost));
+        let lost = self.lost_members.iter().find(decides)?;
+        Some(VoteQuorum::WithoutLostVoter(lost.clone()))
     }
 
-    /// Counts this replica's vote once it is stored, and becomes leader with a majority.
+    fn has_vote_quorum(&self) -> bool {
+        self.vote_quorum().is_some()
+    }
+
+    fn become_leader_with_quorum(&mut self) {
+        match self.vote_quorum() {
+            Some(VoteQuorum::Majority) => self.become_leader(None),
+            Some(VoteQuorum::WithoutLostVoter(lost)) => self.become_leader(Some(lost)),
+            None => {}
+        }
+    }
+
+    /// Counts this replica's vote once it is stored, and becomes leader with a quorum.
     pub(super) fn count_own_vote(&mut self) {
         let own_id = self.own_member_id();
         let RoleState::Candidate { granted_by, vote_sequence } = &mut self.role else { return };
         if self.outbox.is_stored(*vote_sequence) {
-            granted_by.insert(own_id);
-            if self.has_vote_majority() {
-                self.become_leader();
-            }
+            granted_by.insert(own_id, self.lost_members.clone());
+            self.become_leader_with_quorum();
         }
     }
 
@@ -130,46 +170,58 @@
         }
     }
 
-    /// Whether a candidate's log is at least as up to date as this replica's log (section 3.6.1 of
-    /// the dissertation).
-    fn is_up_to_date(&self, last_index: u64, last_term: u64) -> bool {
-        (last_term, last_index) >= (self.log.last_term(), self.log.last_index())
+    /// Whether a candidate's log, given the term and index of its last entry, is at least as up to
+    /// date as this replica's log (section 3.6.1 of the dissertation).
+    fn is_up_to_date(&self, last_entry: (u64, u64)) -> bool {
+        last_entry >= (self.log.last_term(), self.log.last_index())
     }
 
     pub(super) fn on_pre_vote(
         &mut self,
         from: ReplicaId,
         term: u64,
-        last_index: u64,
-        last_term: u64,
+        last_entry: (u64, u64),
+        lost_members: BTreeSet<ReplicaId>,
     ) {
-        let is_granted = term > self.term
-            && !self.has_recent_leader()
-            && self.is_up_to_date(last_index, last_term);
+        let is_granted =
+            term > self.term && !self.has_recent_leader() && self.is_up_to_date(last_entry);
         let reply_term = if is_granted { term } else { self.term };
-        self.send_after_storage(from, reply_term, MessageBody::PreVoteReply { is_granted });
+        let body = MessageBody::PreVoteReply { is_granted, lost_members };
+        self.send_after_storage(from, reply_term, body);
     }
 
-    pub(super) fn on_pre_vote_reply(&mut self, from: &ReplicaId, term: u64, is_granted: bool) {
+    pub(super) fn on_pre_vote_reply(
+        &mut self,
+        from: &ReplicaId,
+        term: u64,
+        is_granted: bool,
+        lost_members: BTreeSet<ReplicaId>,
+    ) {
         if !is_granted {
             if term > self.term {
                 self.become_follower(term, None);
             }
             return;
         }
-        let Some(voter) = self.matching_member(from) else { return };
+        let voter = self.counted_id(from);
         if term != self.term + 1 {
             return;
         }
         if let RoleState::PreCandidate { granted_by } = &mut self.role {
-            granted_by.insert(voter);
-            if self.has_vote_majority() {
+            granted_by.insert(voter, lost_members);
+            if self.has_vote_quorum() {
                 self.start_election();
             }
         }
     }
 
-    pub(super) fn on_vote(&mut self, from: ReplicaId, term: u64, last_index: u64, last_term: u64) {
+    pub(super) fn on_vote(
+        &mut self,
+        from: ReplicaId,
+        term: u64,
+        last_entry: (u64, u64),
+        lost_members: BTreeSet<ReplicaId>,
+    ) {
         // A removed or isolated replica must not depose a leader that a majority follows.
         let follows_leader =
             self.has_recent_leader() && !self.settings.injected_faults.skip_pre_vote;
@@ -180,27 +232,30 @@
             self.become_follower(term, None);
         }
         let may_vote_for_candidate = self.voted_for.as_ref().is_none_or(|v| *v == from);
-        let is_granted = term == self.term
-            && may_vote_for_candidate
-            && self.is_up_to_date(last_index, last_term);
+        let is_granted =
+            term == self.term && may_vote_for_candidate && self.is_up_to_date(last_entry);
         if is_granted {
             if self.voted_for.is_none() {
                 self.set_term(term, Some(from.clone()));
             }
             self.reset_election_timer();
         }
-        self.send_after_storage(from, self.term, MessageBody::VoteReply { is_granted });
+        let body = MessageBody::VoteReply { is_granted, lost_members };
+        self.send_after_storage(from, self.term, body);
     }
 
-    pub(super) fn on_vote_reply(&mut self, from: &ReplicaId, is_granted: bool) {
-        let Some(voter) = self.matching_member(from) else { return };
+    pub(super) fn on_vote_reply(
+        &mut self,
+        from: &ReplicaId,
+        is_granted: bool,
+        lost_members: BTreeSet<ReplicaId>,
+    ) {
+        let voter = self.counted_id(from);
         if let RoleState::Candidate { granted_by, .. } = &mut self.role {
             if is_granted {
-                granted_by.insert(voter);
-            }
-            if self.has_vote_majority() {
-                self.become_leader();
+                granted_by.insert(voter, lost_members);
             }
+            self.become_leader_with_quorum();
         }
     }
 
@@ -229,15 +284,17 @@
         }
     }
 
-    fn become_leader(&mut self) {
+    /// Becomes leader; `lost_voter` is given if half of an even number of voters decided without it.
+    fn become_leader(&mut self, lost_voter: Option<ReplicaId>) {
         let index = self.log.last_index() + 1;
         let own_id = self.own_member_id();
-        let others = self.configuration.members().filter(|id| **id != own_id).cloned();
+        let others = self.tracked_members().into_iter().filter(|id| *id != own_id);
         let progress = others.map(|id| (id, FollowerProgress::new(index, self.now_ms))).collect();
         let leader_state = LeaderState {
             progress,
             elected_at_ms: self.now_ms,
             first_own_index: index,
+            lost_voter,
             ..LeaderState::default()
         };
         self.role = RoleState::Leader(Box::new(leader_state));
@@ -257,7 +314,8 @@
         let RoleState::Leader(leader_state) = &self.role else { return };
         let is_check_due =
             self.now_ms >= leader_state.elected_at_ms + self.settings.election_timeout_ms;
-        if is_check_due && !self.configuration.is_majority(|id| self.is_responsive(id)) {
+        let has_quorum = self.is_quorum(self.leader_lost_voter(), |id| self.is_responsive(id));
+        if is_check_due && !has_quorum {
             self.become_follower(self.term, None);
         }
     }
--- a/crates/consensus/src/raft/leader_state.rs
+++ b/crates/consensus/src/raft/leader_state.rs
@@ -18,6 +18,8 @@
     pub(super) last_heartbeat_ms: u64,
     /// When the replica became leader, in ms.
     pub(super) elected_at_ms: u64,
+    /// Lost voter without which the leader was elected by half of an even number of voters.
+    pub(super) lost_voter: Option<ReplicaId>,
     /// First entry of the leader's own term; once it is committed, the commit index is current.
     pub(super) first_own_index: u64,
 }
--- a/crates/consensus/src/raft/membership.rs
+++ b/crates/consensus/src/raft/membership.rs
@@ -2,8 +2,9 @@
 //! the crate documentation).
 //!
 //! A change takes effect when it is appended, and the next one may start only after it is
-//! committed, so the majorities of successive configurations always have a voter in common. A
-//! leader must first commit an entry of its own term; otherwise two leaders could each change one
+//! committed. Until then, quorums need a majority of the members before the change as well, because
+//! half of an even number of voters may suffice after a loss (see `docs/design.md`, section 5.2.1).
+//! A leader must first commit an entry of its own term; otherwise two leaders could each change one
 //! member of the same configuration, and the two results would differ in two members.
 
 use crate::protocol::ClusterConfiguration;
@@ -84,7 +85,7 @@
                 }
             }
         }
-        if next.is_majority(|id| self.is_responsive(id)) {
+        if next.is_quorum(self.leader_lost_voter(), |id| self.is_responsive(id)) {
             Ok(next)
         } else {
             Err(RequestRefusal::WouldLoseMajority)
@@ -111,11 +112,10 @@
         leader_state.progress.iter().map(status).collect()
     }
 
-    /// Starts tracking new members and stops tracking removed ones.
+    /// Starts tracking new members.
     fn update_progress(&mut self) {
         let (now_ms, next_index) = (self.now_ms, self.log.last_index());
         let RoleState::Leader(leader_state) = &mut self.role else { return };
-        leader_state.progress.retain(|id, _| self.configuration.has_member(id));
         for id in self.configuration.members().filter(|id| **id != self.id) {
             leader_state
                 .progress
@@ -124,6 +124,19 @@
         }
     }
 
+    /// Stops tracking members once their removal is committed.
+    pub(super) fn prune_members(&mut self) {
+        self.prune_lost_members();
+        let RoleState::Leader(leader_state) = &self.role else { return };
+        let is_committed = self.configuration_index <= self.commit_index;
+        let is_member = |id: &ReplicaId| self.configuration.has_member(id);
+        if !is_committed || leader_state.progress.keys().all(is_member) {
+            return;
+        }
+        let RoleState::Leader(leader_state) = &mut self.role else { return };
+        leader_state.progress.retain(|id, _| self.configuration.has_member(id));
+    }
+
     /// A leader that removed itself steps down once the change is committed (section 4.2.2 of the
     /// dissertation).
     pub(super) fn step_down_if_removed(&mut self) {
--- a/crates/consensus/src/raft/mod.rs
+++ b/crates/consensus/src/raft/mod.rs
@@ -6,6 +6,7 @@
 mod leader_state;
 mod membership;
 mod outbox;
+mod quorum;
 mod raft_settings;
 mod reads;
 mod replica;
--- /dev/null
+++ b/crates/consensus/src/raft/quorum.rs
@@ -0,0 +1,87 @@
+//! Quorums for elections, commits and reads, and what is known about lost disks.
+//!
+//! As long as a membership change is not committed, a quorum needs a majority of the new members
+//! and of those before. An even number of voters, one of which has certainly lost its disk, may
+//! decide by half of them. See `docs/design.md`, section 5.2.1.
+
+use crate::protocol::ClusterConfiguration;
+use crate::protocol::MessageBody;
+use crate::protocol::ReplicaId;
+use crate::raft::replica::Replica;
+use crate::raft::replica::RoleState;
+
+impl Replica {
+    /// The configurations in which a quorum is needed: the latest one and, until it is committed,
+    /// the one before.
+    pub(super) fn quorum_configurations(&self) -> Vec<ClusterConfiguration> {
+        let mut configurations = vec![self.configuration.clone()];
+        configurations.extend(self.previous_configuration());
+        configurations
+    }
+
+    /// The configuration before the latest one, if that is not known to be committed.
+    pub(super) fn previous_configuration(&self) -> Option<ClusterConfiguration> {
+        let is_skipped = self.settings.injected_faults.skip_previous_majority;
+        if self.configuration_index <= self.commit_index || is_skipped {
+            return None;
+        }
+        let (previous, _) = self.log.configuration_at(self.configuration_index - 1);
+        // The first configuration of a log has none before it.
+        (!previous.voters.is_empty()).then_some(previous)
+    }
+
+    /// Whether the voters for which `is_counted` holds are a quorum, by half of an even number if
+    /// `lost_voter` is one of them.
+    pub(super) fn is_quorum(
+        &self,
+        lost_voter: Option<&ReplicaId>,
+        is_counted: impl Fn(&ReplicaId) -> bool,
+    ) -> bool {
+        self.quorum_configurations()
+            .iter()
+            .all(|configuration| configuration.is_quorum(lost_voter, &is_counted))
+    }
+
+    /// The members, and those before an uncommitted change: a removed voter is needed for the
+    /// majority that commits its removal.
+    pub(super) fn tracked_members(&self) -> Vec<ReplicaId> {
+        let configurations = self.quorum_configurations();
+        let mut members: Vec<ReplicaId> =
+            configurations.iter().flat_map(ClusterConfiguration::members).cloned().collect();
+        members.sort_unstable();
+        members.dedup();
+        members
+    }
+
+    /// Lost voter without which this leader was elected by half of an even number of voters.
+    pub(super) fn leader_lost_voter(&self) -> Option<&ReplicaId> {
+        match &self.role {
+            RoleState::Leader(leader_state) => leader_state.lost_voter.as_ref(),
+            _ => None,
+        }
+    }
+
+    /// Tells the sender of a message to an earlier disk of this host that the disk is lost.
+    ///
+    /// This is certain, because a new id is drawn only for an empty data directory.
+    pub(super) fn report_lost_disk(&mut self, to: ReplicaId, lost: ReplicaId) {
+        self.send_now(to, self.term, MessageBody::LossReport { lost });
+    }
+
+    /// Records that a member has lost its disk.
+    pub(super) fn on_loss_report(&mut self, from: &ReplicaId, lost: ReplicaId) {
+        let is_successor = from.name == lost.name && from.disk != lost.disk;
+        if is_successor && self.tracked_members().contains(&lost) {
+            self.lost_members.insert(lost);
+        }
+    }
+
+    /// Forgets the losses of replicas that are no members any more.
+    pub(super) fn prune_lost_members(&mut self) {
+        if self.lost_members.is_empty() {
+            return;
+        }
+        let members = self.tracked_members();
+        self.lost_members.retain(|id| members.contains(id));
+    }
+}
--- a/crates/consensus/src/raft/raft_settings.rs
+++ b/crates/consensus/src/raft/raft_settings.rs
@@ -81,4 +81,8 @@
     pub early_membership_change: bool,
     /// Complete reads without a heartbeat round to a majority.
     pub skip_read_confirmation: bool,
+    /// Count votes without a lost voter even if those who gave them were not told of the loss.
+    pub count_votes_before_loss: bool,
+    /// Let the majority of the new members alone decide while a membership change is uncommitted.
+    pub skip_previous_majority: bool,
 }
--- a/crates/consensus/src/raft/reads.rs
+++ b/crates/consensus/src/raft/reads.rs
@@ -32,12 +32,14 @@
             return;
         }
         let is_confirmation_skipped = self.settings.injected_faults.skip_read_confirmation;
-        let has_acknowledged = |id: &ReplicaId, round: u64| {
-            leader_state.progress.get(id).is_none_or(|p| p.acknowledged_round >= round)
+        let own_id = self.own_member_id();
+        let has_acknowledged = |id: &ReplicaId, round: u64| match leader_state.progress.get(id) {
+            Some(progress) => progress.acknowledged_round >= round,
+            None => *id == own_id,
         };
         let is_confirmed = |read: &PendingRead| {
             is_confirmation_skipped
-                || self.configuration.is_majority(|id| has_acknowledged(id, read.round))
+                || self.is_quorum(self.leader_lost_voter(), |id| has_acknowledged(id, read.round))
         };
         let count = leader_state.pending_reads.iter().take_while(|read| is_confirmed(read)).count();
         let RoleState::Leader(leader_state) = &mut self.role else { return };
--- a/crates/consensus/src/raft/replica.rs
+++ b/crates/consensus/src/raft/replica.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -42,16 +43,19 @@
 pub(super) enum RoleState {
     Follower,
     PreCandidate {
-        granted_by: BTreeSet<ReplicaId>,
+        granted_by: GrantedVotes,
     },
     Candidate {
-        granted_by: BTreeSet<ReplicaId>,
+        granted_by: GrantedVotes,
         /// Number of the persist request that stores this candidate's vote for itself.
         vote_sequence: u64,
     },
     Leader(Box<LeaderState>),
 }
 
+/// Voters that granted their votes, each with the lost members that it was told of before.
+pub(super) type GrantedVotes = BTreeMap<ReplicaId, BTreeSet<ReplicaId>>;
+
 /// One replica of the log: a deterministic state machine without I/O. The caller provides the time
 /// and the random seed.
 ///
@@ -69,6 +73,10 @@
     /// host that was bootstrapped by mistake would send entries that may agree in index and term
     /// with those of this log.
     pub(super) log_id: u64,
+    /// Entry of the latest configuration that is known to be committed, as far as it was stored.
+    committed_configuration_index: u64,
+    /// Members whose successors on the same host have reported the loss of the disk.
+    pub(super) lost_members: BTreeSet<ReplicaId>,
     pub(super) log: InMemoryLog,
     pub(super) snapshot: Option<Arc<Snapshot>>,
     pub(super) incoming_snapshot: Option<IncomingSnapshot>,
@@ -125,6 +133,8 @@
             term: hard_state.term,
             voted_for: hard_state.voted_for,
             log_id: hard_state.log_id,
+            committed_configuration_index: hard_state.committed_configuration_index,
+            lost_members: BTreeSet::new(),
             log,
             snapshot,
             incoming_snapshot: None,
@@ -134,7 +144,7 @@
             last_leader_contact_ms: now_ms,
             started_ms: now_ms,
             election_due_ms: 0,
-            commit_index: snapshot_index,
+            commit_index: snapshot_index.max(hard_state.committed_configuration_index),
             applied_index: snapshot_index,
             applied_bytes: 0,
             configuration,
@@ -196,6 +206,8 @@
             last_index: self.log.last_index(),
             snapshot_index: self.snapshot_index(),
             configuration: self.configuration.clone(),
+            previous_configuration: self.previous_configuration(),
+            lost_members: self.lost_members.clone(),
             followers: self.follower_statuses(),
         }
     }
@@ -240,10 +252,13 @@
     fn receive(&mut self, message: RaftMessage) {
         let is_addressed_here = message.to == self.id
             || (self.settings.injected_faults.ignore_disk_ids && message.to.name == self.id.name);
-        if !is_addressed_here || message.from == self.id {
+        let RaftMessage { from, to, log_id, term, body } = message;
+        if !is_addressed_here || from == self.id {
+            if to.name == self.id.name && from.name != self.id.name {
+                self.report_lost_disk(from, to);
+            }
             return;
         }
-        let RaftMessage { from, log_id, term, body, .. } = message;
         // A message with log id 0 comes from a replica that has not joined a log yet; it may reply
         // to pre-votes.
         if self.log_id != 0 && log_id != 0 && self.log_id != log_id {
@@ -254,18 +269,18 @@
             self.unsaved.is_hard_state_changed = true;
         }
         match body {
-            MessageBody::PreVote { last_index, last_term } => {
-                self.on_pre_vote(from, term, last_index, last_term);
+            MessageBody::PreVote { last_index, last_term, lost_members } => {
+                self.on_pre_vote(from, term, (last_term, last_index), lost_members);
             }
-            MessageBody::PreVoteReply { is_granted } => {
-                self.on_pre_vote_reply(&from, term, is_granted)
+            MessageBody::PreVoteReply { is_granted, lost_members } => {
+                self.on_pre_vote_reply(&from, term, is_granted, lost_members)
             }
-            MessageBody::Vote { last_index, last_term } => {
-                self.on_vote(from, term, last_index, last_term);
+            MessageBody::Vote { last_index, last_term, lost_members } => {
+                self.on_vote(from, term, (last_term, last_index), lost_members);
             }
-            MessageBody::VoteReply { is_granted } => {
+            MessageBody::VoteReply { is_granted, lost_members } => {
                 if self.is_current_reply(term) {
-                    self.on_vote_reply(&from, is_granted);
+                    self.on_vote_reply(&from, is_granted, lost_members);
                 }
             }
             MessageBody::Append { prev_index, prev_term, entries, commit_index, round } => {
@@ -296,6 +311,7 @@
                     self.on_snapshot_reply(&from, index, received_bytes, is_installed);
                 }
             }
+            MessageBody::LossReport { lost } => self.on_loss_report(&from, lost),
         }
     }
 
@@ -320,6 +336,12 @@
         None
     }
 
+    /// The identity under which the votes and acknowledgements of a replica count. Those of one that
+    /// is no voter are not counted, see [`ClusterConfiguration::is_quorum`].
+    pub(super) fn counted_id(&self, id: &ReplicaId) -> ReplicaId {
+        self.matching_member(id).unwrap_or_else(|| id.clone())
+    }
+
     /// Whether this replica is a voter in the latest configuration.
     pub(super) fn is_voter(&self) -> bool {
         let own_id = self.matching_member(&self.id);
@@ -410,6 +432,18 @@
         self.apply_committed();
         self.confirm_reads();
         self.step_down_if_removed();
+        self.prune_members();
+        self.store_committed_configuration();
+    }
+
+    /// Requests storage of the fact that the configuration is committed.
+    fn store_committed_configuration(&mut self) {
+        let index = self.configuration_index;
+        if index > self.committed_configuration_index && index <= self.commit_index {
+            self.committed_configuration_index = index;
+            self.unsaved.is_hard_state_changed = true;
+            self.persist();
+        }
     }
 
     /// Requests storage of the changes of this step.
@@ -425,6 +459,7 @@
             term: self.term,
             voted_for: self.voted_for.clone(),
             log_id: self.log_id,
+            committed_configuration_index: self.committed_configuration_index,
         });
         let first = unsaved.first_entry_index.map(|from| from.max(self.log.base_index() + 1));
         let entries = first.map(|from| self.log.entries_from(from)).unwrap_or_default();
--- a/crates/consensus/src/raft/replica_status.rs
+++ b/crates/consensus/src/raft/replica_status.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use crate::protocol::ClusterConfiguration;
 use crate::protocol::ReplicaId;
 
@@ -45,6 +47,11 @@
     pub snapshot_index: u64,
     /// Latest configuration, committed or not.
     pub configuration: ClusterConfiguration,
+    /// Configuration before the latest one, until that is known to be committed. A quorum needs its
+    /// voters as well.
+    pub previous_configuration: Option<ClusterConfiguration>,
+    /// Members whose disks are known to be lost.
+    pub lost_members: BTreeSet<ReplicaId>,
     /// On the leader, the other members; a learner can be promoted once it has caught up.
     pub followers: Vec<FollowerStatus>,
 }
--- a/crates/consensus/src/raft/replication.rs
+++ b/crates/consensus/src/raft/replication.rs
@@ -202,7 +202,7 @@
     ) {
         let now_ms = self.now_ms;
         let last_index = self.log.last_index();
-        let Some(member) = self.matching_member(from) else { return };
+        let member = self.counted_id(from);
         let RoleState::Leader(leader_state) = &mut self.role else { return };
         let Some(progress) = leader_state.progress.get_mut(&member) else { return };
         progress.last_response_ms = now_ms;
@@ -214,23 +214,25 @@
         }
     }
 
-    /// Commits the entries that a majority has stored. Entries of earlier terms are not committed
+    /// Commits the entries that a quorum has stored. Entries of earlier terms are not committed
     /// by counting replicas, only together with an entry of the leader's term (section 3.6.2 of the
     /// dissertation).
     pub(super) fn advance_commit(&mut self) {
         let RoleState::Leader(leader_state) = &self.role else { return };
         let stored_index = self.outbox.stored_index();
+        let own_id = self.own_member_id();
         let match_index_of = |id: &ReplicaId| match leader_state.progress.get(id) {
             Some(progress) => progress.match_index,
-            None => stored_index,
+            None if *id == own_id => stored_index,
+            None => 0,
         };
-        let mut match_indices: Vec<u64> =
-            self.configuration.voters.iter().map(match_index_of).collect();
-        match_indices.sort_unstable();
-        let Some(position) = match_indices.len().checked_sub(self.configuration.quorum()) else {
-            return;
-        };
-        let majority_index = match_indices[position].min(self.log.last_index());
+        let lost_voter = leader_state.lost_voter.as_ref();
+        let configurations = self.quorum_configurations();
+        let quorum_indices = configurations
+            .iter()
+            .map(|configuration| configuration.quorum_index(lost_voter, match_index_of));
+        let Some(Some(majority_index)) = quorum_indices.min() else { return };
+        let majority_index = majority_index.min(self.log.last_index());
         let is_own_term = self.log.term(majority_index) == Some(self.term);
         if majority_index > self.commit_index
             && (is_own_term || self.settings.injected_faults.commit_entries_of_earlier_terms)
--- a/crates/consensus/src/raft/snapshots.rs
+++ b/crates/consensus/src/raft/snapshots.rs
@@ -164,7 +164,7 @@
         is_installed: bool,
     ) {
         let now_ms = self.now_ms;
-        let Some(member) = self.matching_member(from) else { return };
+        let member = self.counted_id(from);
         let RoleState::Leader(leader_state) = &mut self.role else { return };
         let Some(progress) = leader_state.progress.get_mut(&member) else { return };
         progress.last_response_ms = now_ms;
--- a/crates/consensus/src/storage/metadata.rs
+++ b/crates/consensus/src/storage/metadata.rs
@@ -10,7 +10,13 @@
 use crate::storage::atomic_file;
 use crate::storage::StorageError;
 
-const MAGIC: &[u8; 8] = b"tgmeta1\n";
+const MAGIC: &[u8; 8] = b"tgmeta2\n";
+
+/// Magic number of files without [`HardState::committed_configuration_index`], their last field.
+const MAGIC_WITHOUT_COMMIT: &[u8; 8] = b"tgmeta1\n";
+
+/// Encoding of the missing index, 0: no configuration is known to be committed.
+const MISSING_INDEX: u8 = 0;
 
 /// Name of the metadata file.
 pub(super) const METADATA_NAME: &str = "metadata";
@@ -42,9 +48,14 @@
         }
         let bytes =
             std::fs::read(&path).change_context_lazy(|| atomic_file::io_error("read", &path))?;
-        let payload = atomic_file::verify_checksum_header(MAGIC, &path, &bytes)?;
+        let is_without_commit = bytes.starts_with(MAGIC_WITHOUT_COMMIT);
+        let magic = if is_without_commit { MAGIC_WITHOUT_COMMIT } else { MAGIC };
+        let mut payload = atomic_file::verify_checksum_header(magic, &path, &bytes)?.to_vec();
+        if is_without_commit {
+            payload.push(MISSING_INDEX);
+        }
         let fault = "the content cannot be decoded";
         let damaged = || StorageError::Damaged { file: path.clone(), offset: 20, fault };
-        postcard::from_bytes(payload).change_context_lazy(damaged).map(Some)
+        postcard::from_bytes(&payload).change_context_lazy(damaged).map(Some)
     }
 }
--- a/crates/consensus/tests/recovery.rs
+++ b/crates/consensus/tests/recovery.rs
@@ -440,3 +440,27 @@
     let (_, recovered) = FileLogStore::open(&directory, DiskId(8)).expect("the log is whole");
     assert_eq!(recovered.entries.len(), 6);
 }
+
+/// Guards against a replica that cannot start with the metadata of an earlier version, which lack
+/// the index of the committed configuration.
+#[test]
+fn metadata_without_the_committed_configuration_are_read() {
+    let directory = tempfile::tempdir().unwrap();
+    let (mut store, _) = FileLogStore::open(directory.path(), DiskId(3)).unwrap();
+    let hard_state = HardState { term: 9, log_id: 5, ..HardState::default() };
+    let request =
+        PersistRequest { hard_state: Some(hard_state.clone()), ..PersistRequest::default() };
+    store.write(&request).unwrap();
+    store.sync().unwrap();
+    drop(store);
+    let path = directory.path().join("metadata");
+    let bytes = fs::read(&path).unwrap();
+    let payload = &bytes[20..bytes.len() - 1];
+    let mut former = b"tgmeta1\n".to_vec();
+    former.extend((payload.len() as u64).to_le_bytes());
+    former.extend(crc32fast::hash(payload).to_le_bytes());
+    former.extend(payload);
+    fs::write(&path, former).unwrap();
+    let (store, recovered) = FileLogStore::open(directory.path(), DiskId(4)).unwrap();
+    assert_eq!((store.disk_id(), recovered.hard_state), (DiskId(3), hard_state));
+}
--- a/crates/consensus/tests/replica/catalogue.rs
+++ b/crates/consensus/tests/replica/catalogue.rs
@@ -96,7 +96,11 @@
 fn answers_match_a_sequential_catalogue() {
     fn property(seed: u64) -> Result<(), String> {
         let mut sim = catalogue_simulation(seed, 3 + 2 * (seed % 2) as usize);
-        let faults = ScheduleFaults { has_lost_disks: true, has_member_changes: false };
+        let faults = ScheduleFaults {
+            has_lost_disks: true,
+            has_member_changes: false,
+            ..ScheduleFaults::NONE
+        };
         run_schedule(&mut sim, 80, faults, concurrent_note)?;
         let mut sequential = CatalogueMachine::default();
         for (index, (command, actual)) in &sim.checker.applied {
--- a/crates/consensus/tests/replica/checker.rs
+++ b/crates/consensus/tests/replica/checker.rs
@@ -1,6 +1,8 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use tarragon_consensus::protocol::ClusterConfiguration;
+use tarragon_consensus::protocol::DiskId;
 use tarragon_consensus::protocol::MessageBody;
 use tarragon_consensus::protocol::RaftMessage;
 use tarragon_consensus::protocol::ReplicaId;
@@ -17,12 +19,15 @@
     /// Whether to skip the checks that a majority voted and acknowledged, so that a run with
     /// ignored disk ids continues until a command is lost.
     pub is_majority_check_skipped: bool,
+    /// Ids of the lost disks.
+    pub lost_disks: BTreeSet<DiskId>,
     /// Number of snapshot chunks sent.
     pub chunk_count: u64,
     /// Size of the largest chunk, in bytes.
     pub max_chunk_bytes: usize,
     leaders: BTreeMap<u64, ReplicaId>,
-    votes: BTreeSet<(u64, ReplicaId, ReplicaId)>,
+    /// Lost members that a voter was told of when it voted, by term, candidate and voter.
+    votes: BTreeMap<(u64, ReplicaId, ReplicaId), BTreeSet<ReplicaId>>,
     /// Last acknowledged entry, by term, leader and follower.
     match_indices: BTreeMap<(u64, ReplicaId, ReplicaId), u64>,
     /// Terms of committed entries, by index.
@@ -39,8 +44,9 @@
     pub fn on_send(&mut self, message: &RaftMessage) {
         let RaftMessage { from, to, term, body, .. } = message;
         match body {
-            MessageBody::VoteReply { is_granted: true } => {
-                self.votes.insert((*term, to.clone(), from.clone()));
+            MessageBody::VoteReply { is_granted: true, lost_members } => {
+                let key = (*term, to.clone(), from.clone());
+                self.votes.entry(key).or_default().extend(lost_members.iter().cloned());
             }
             MessageBody::AppendReply { is_accepted: true, match_index: index, .. }
             | MessageBody::SnapshotReply { is_installed: true, index, .. } => {
@@ -162,22 +168,42 @@
         if self.is_majority_check_skipped {
             return Ok(());
         }
-        let has_vote =
-            |v: &ReplicaId| v == id || self.votes.contains(&(term, id.clone(), v.clone()));
-        if is_new && !status.configuration.is_majority(has_vote) {
-            return Err(format!("{id} leads term {term} without the votes of a majority"));
+        let has_vote = |v: &ReplicaId, lost: Option<&ReplicaId>| {
+            let known = self.votes.get(&(term, id.clone(), v.clone()));
+            let knows_loss = |known: &BTreeSet<ReplicaId>| lost.is_none_or(|l| known.contains(l));
+            v == id || known.is_some_and(knows_loss)
+        };
+        if is_new && !self.is_quorum(&status.configuration, has_vote) {
+            return Err(format!("{id} leads term {term} without the votes of a quorum"));
         }
-        let has_entry = |v: &ReplicaId| {
+        let has_entry = |v: &ReplicaId, _: Option<&ReplicaId>| {
             let key = (term, id.clone(), v.clone());
             v == id || self.match_indices.get(&key).is_some_and(|m| *m >= status.commit_index)
         };
         let is_advanced = !is_new && status.commit_index > before.commit_index;
-        if is_advanced && !status.configuration.is_majority(has_entry) {
-            return Err(format!("{id} commits {} without a majority", status.commit_index));
+        if is_advanced && !self.is_quorum(&status.configuration, has_entry) {
+            return Err(format!("{id} commits {} without a quorum", status.commit_index));
         }
         Ok(())
     }
 
+    /// Whether voters decide by a majority, or by half of an even number of which one has lost its
+    /// disk. `is_counted` gets that lost voter, if there is one.
+    fn is_quorum(
+        &self,
+        members: &ClusterConfiguration,
+        is_counted: impl Fn(&ReplicaId, Option<&ReplicaId>) -> bool,
+    ) -> bool {
+        let voters = &members.voters;
+        let decides_without = |lost: &ReplicaId| {
+            let others = voters.iter().filter(|id| *id != lost);
+            others.filter(|id| is_counted(id, Some(lost))).count() * 2 >= voters.len()
+        };
+        let mut lost = voters.iter().filter(|id| self.lost_disks.contains(&id.disk));
+        members.is_majority(|id| is_counted(id, None))
+            || (voters.len().is_multiple_of(2) && lost.any(decides_without))
+    }
+
     /// Checks that a new leader has every entry whose result a client received from a leader of an
     /// earlier term. Entries of later terms are not checked: a replica that receives the deciding
     /// vote late becomes leader of an old term, and may lack entries that later terms committed.
--- a/crates/consensus/tests/replica/directed.rs
+++ b/crates/consensus/tests/replica/directed.rs
@@ -44,7 +44,7 @@
     sim.status(host).expect("the host is up")
 }
 
-fn partition(sim: &mut Sim, groups: &[&[usize]]) {
+pub fn partition(sim: &mut Sim, groups: &[&[usize]]) {
     sim.blocked_links.clear();
     let group_of = |host: usize| groups.iter().position(|group| group.contains(&host));
     for from in 0..sim.nodes.len() {
@@ -262,10 +262,15 @@
 }
 
 /// Guards against two leaders whose majorities have no voter in common because each has changed the
-/// members.
+/// members. Two rules prevent it: a new leader commits an entry first, and quorums need a majority
+/// of the previous members as well.
 #[test]
 fn a_new_leader_changes_no_members_before_its_first_commit() {
-    let fault = InjectedFaults { early_membership_change: true, ..InjectedFaults::default() };
+    let fault = InjectedFaults {
+        early_membership_change: true,
+        skip_previous_majority: true,
+        ..InjectedFaults::default()
+    };
     let mut failures = 0;
     for seed in 1..40 {
         assert_eq!(
--- a/crates/consensus/tests/replica/election.rs
+++ b/crates/consensus/tests/replica/election.rs
@@ -21,7 +21,7 @@
     let members = ClusterConfiguration::from_voters(voters.clone());
     let log_id = members.log_id();
     let entry = LogEntry { term: 1, index: 1, payload: EntryPayload::Members(members) };
-    let hard_state = HardState { term: 1, voted_for: None, log_id };
+    let hard_state = HardState { term: 1, log_id, ..HardState::default() };
     let recovered = RecoveredState { hard_state, snapshot: None, entries: vec![entry] };
     let [local_id, leader, _] = voters;
     let mut replica = Replica::new(local_id.clone(), RaftSettings::default(), recovered, seed, 0);
--- a/crates/consensus/tests/replica/mechanisms.rs
+++ b/crates/consensus/tests/replica/mechanisms.rs
@@ -20,7 +20,8 @@
     let settings = RaftSettings { injected_faults, ..settings() };
     let mut sim = Sim::new(seed, 3, 0, settings, ledger());
     sim.checker.is_majority_check_skipped = injected_faults.ignore_disk_ids;
-    let faults = ScheduleFaults { has_lost_disks: true, has_member_changes: false };
+    let faults =
+        ScheduleFaults { has_lost_disks: true, has_member_changes: false, ..ScheduleFaults::NONE };
     run_schedule(&mut sim, 100, faults, numbered_command)
 }
 
--- a/crates/consensus/tests/replica/node.rs
+++ b/crates/consensus/tests/replica/node.rs
@@ -16,6 +16,8 @@
     pub replica: Option<Replica>,
     pub machine: RecordingMachine,
     pub is_paused: bool,
+    /// Whether the host was removed and never starts again.
+    pub is_gone: bool,
     /// Speed of the clock, in percent of real time.
     pub clock_percent: u64,
     clock_hundredths_ms: u64,
@@ -25,6 +27,8 @@
     pub last_sequence: u64,
     /// Latest configuration of the replica.
     pub configuration: ClusterConfiguration,
+    /// Configuration before the latest one, until it is stored that the latest one is committed.
+    pub previous_configuration: Option<ClusterConfiguration>,
     factory: MachineFactory,
 }
 
@@ -36,11 +40,13 @@
             replica: None,
             machine: RecordingMachine::new(factory()),
             is_paused: false,
+            is_gone: false,
             clock_percent: 100,
             clock_hundredths_ms: 0,
             sync_due_ms: None,
             last_sequence: 0,
             configuration: ClusterConfiguration::default(),
+            previous_configuration: None,
             factory,
         }
     }
@@ -65,7 +71,9 @@
         }
         let now_ms = self.clock_ms();
         let replica = Replica::new(self.id.clone(), settings.clone(), recovered, seed, now_ms);
-        self.configuration = replica.status().configuration;
+        let status = replica.status();
+        self.configuration = status.configuration;
+        self.previous_configuration = status.previous_configuration;
         self.replica = Some(replica);
     }
 
@@ -85,5 +93,6 @@
         self.store.disk().erase();
         self.id.disk = DiskId(new_disk);
         self.configuration = ClusterConfiguration::default();
+        self.previous_configuration = None;
     }
 }
--- a/crates/consensus/tests/replica/schedule.rs
+++ b/crates/consensus/tests/replica/schedule.rs
@@ -20,6 +20,19 @@
 pub struct ScheduleFaults {
     pub has_lost_disks: bool,
     pub has_member_changes: bool,
+    /// Whether single hosts are removed for good.
+    pub has_removed_hosts: bool,
+    /// Whether disks are lost even if no quorum is left, so that the log may stop.
+    pub may_lose_quorum: bool,
+}
+
+impl ScheduleFaults {
+    pub const NONE: Self = Self {
+        has_lost_disks: false,
+        has_member_changes: false,
+        has_removed_hosts: false,
+        may_lose_quorum: false,
+    };
 }
 
 /// Runs a random schedule of faults and requests, which the seed of the simulation determines.
@@ -56,7 +69,7 @@
             14 => sim.crash(host),
             15 if sim.rng.random_bool(0.3) => fail_power_of_all_hosts(sim),
             15 => sim.nodes[host].store.disk().start_failing(),
-            16 if faults.has_lost_disks && may_lose_disk(sim, host) => {
+            16 if faults.has_lost_disks && may_lose_disk(sim, faults, host) => {
                 sim.lose_disk(host);
                 sim.start(host);
             }
@@ -70,6 +83,7 @@
                 sim.max_delay_ms = sim.rng.random_range(1..40);
             }
             22 => (sim.loss_percent, sim.max_delay_ms) = (0, 5),
+            23 if faults.has_removed_hosts && may_remove_host(sim, host) => sim.remove_host(host),
             23 | 24 => sim.blocked_links.clear(),
             25 => sim.nodes.iter_mut().for_each(|node| node.is_paused = false),
             26 => sim.end_faults(),
@@ -111,21 +125,52 @@
     }
 }
 
-/// Whether every configuration that a replica may use keeps a majority with intact disks when this
-/// host loses its disk.
-fn may_lose_disk(sim: &Sim, host: usize) -> bool {
-    let is_lost = |id: &ReplicaId| sim.lost_disks.contains(&id.disk) || *id == sim.nodes[host].id;
+/// Whether every configuration that a replica may use keeps a quorum when this host loses its disk.
+fn may_lose_disk(sim: &Sim, faults: ScheduleFaults, host: usize) -> bool {
+    let lost = &sim.nodes[host].id;
+    let is_gone = sim.nodes[host].is_gone;
+    !is_gone && (faults.may_lose_quorum || keeps_quorum(sim, Some(lost), /* removed */ None))
+}
+
+/// Whether every configuration that a replica may use keeps a majority when this host is removed.
+/// Only one host is, since its successor would have to catch up before the next one.
+fn may_remove_host(sim: &Sim, host: usize) -> bool {
+    let is_first = sim.nodes.iter().all(|node| !node.is_gone);
+    is_first && keeps_quorum(sim, /* lost */ None, Some(&sim.nodes[host].id))
+}
+
+/// Whether every configuration that a replica may use keeps a quorum: a majority of the voters, or
+/// half of an even number if one of them has lost its disk.
+fn keeps_quorum(sim: &Sim, lost: Option<&ReplicaId>, removed: Option<&ReplicaId>) -> bool {
+    let is_lost = |id: &ReplicaId| sim.checker.lost_disks.contains(&id.disk) || Some(id) == lost;
+    let is_removed = |id: &ReplicaId| {
+        Some(id) == removed || sim.nodes.iter().any(|node| node.is_gone && node.id == *id)
+    };
     let survives = |members: &ClusterConfiguration| {
-        members.voters.is_empty() || members.is_majority(|id| !is_lost(id))
+        let intact = |id: &&ReplicaId| !is_lost(id) && !is_removed(id);
+        let intact_count = members.voters.iter().filter(intact).count();
+        let has_lost_voter = members.voters.iter().any(is_lost);
+        let is_half = members.voters.len().is_multiple_of(2) && has_lost_voter;
+        members.voters.is_empty()
+            || intact_count >= members.quorum()
+            || (is_half && intact_count * 2 >= members.voters.len())
     };
-    sim.nodes.iter().all(|node| survives(&node.configuration))
+    let used = sim
+        .nodes
+        .iter()
+        .flat_map(|node| std::iter::once(&node.configuration).chain(&node.previous_configuration));
+    used.into_iter().all(survives)
 }
 
 /// Membership changes that an operator may request now, some of them twice or too early.
 fn operator_changes(sim: &mut Sim, faults: ScheduleFaults) -> Vec<MemberChange> {
     let Some(leader) = sim.leader() else { return Vec::new() };
     let members = sim.nodes[leader].configuration.clone();
-    let lost = members.members().find(|id| sim.lost_disks.contains(&id.disk)).cloned();
+    let is_lost = |id: &&ReplicaId| {
+        let is_gone = sim.nodes.iter().any(|node| node.is_gone && node.id == **id);
+        is_gone || sim.checker.lost_disks.contains(&id.disk)
+    };
+    let lost = members.members().find(is_lost).cloned();
     if let Some(id) = lost {
         return vec![MemberChange::Remove(id.clone()), MemberChange::Remove(id)];
     }
@@ -152,7 +197,7 @@
 }
 
 const ALL_FAULTS: ScheduleFaults =
-    ScheduleFaults { has_lost_disks: true, has_member_changes: true };
+    ScheduleFaults { has_lost_disks: true, has_member_changes: true, ..ScheduleFaults::NONE };
 
 /// Guards against lost or changed entries and against clusters without progress. The faults are
 /// message loss, duplication, reordering and delay, crashes with torn writes, partitions in one or
@@ -162,8 +207,7 @@
     fn property(seed: u64) -> Result<(), String> {
         let voters = 3 + (seed % 3) as usize;
         let mut sim = Sim::new(seed, voters, 0, settings(), ledger());
-        let faults = ScheduleFaults { has_lost_disks: false, has_member_changes: false };
-        run_schedule(&mut sim, 80, faults, numbered_command)
+        run_schedule(&mut sim, 80, ScheduleFaults::NONE, numbered_command)
     }
     check_property(101, 150, property as fn(u64) -> Result<(), String>);
 }
@@ -174,7 +218,7 @@
 fn lost_disks_are_not_counted_and_can_be_replaced() {
     fn property(seed: u64) -> Result<(), String> {
         let mut sim = Sim::new(seed, 3 + 2 * (seed % 2) as usize, 0, settings(), ledger());
-        let faults = ScheduleFaults { has_lost_disks: true, has_member_changes: false };
+        let faults = ScheduleFaults { has_lost_disks: true, ..ScheduleFaults::NONE };
         run_schedule(&mut sim, 100, faults, numbered_command)
     }
     check_property(102, 150, property as fn(u64) -> Result<(), String>);
@@ -202,7 +246,7 @@
         assert_eq!(run_schedule(&mut sim, 100, ALL_FAULTS, numbered_command), Ok(()));
         result_count += sim.results.len();
         chunk_count += sim.checker.chunk_count;
-        lost += sim.lost_disks.len();
+        lost += sim.checker.lost_disks.len();
         change_count +=
             sim.change_outcomes.iter().filter(|a| **a == RequestOutcome::MembersChanged).count();
         term_sum += sim.leader().and_then(|host| sim.status(host)).map_or(0, |s| s.term);
--- a/crates/consensus/tests/replica/sim.rs
+++ b/crates/consensus/tests/replica/sim.rs
@@ -44,8 +44,6 @@
     pub duplicate_percent: u32,
     pub max_delay_ms: u64,
     pub settings: RaftSettings,
-    /// Ids of the lost disks.
-    pub lost_disks: BTreeSet<DiskId>,
     /// Whether a resent command must get its first result.
     pub is_resend_idempotent: bool,
     /// Outcomes of membership changes, in order.
@@ -98,7 +96,6 @@
             duplicate_percent: 0,
             max_delay_ms: 5,
             settings,
-            lost_disks: BTreeSet::new(),
             is_resend_idempotent: true,
             change_outcomes: Vec::new(),
             results: Vec::new(),
@@ -120,6 +117,9 @@
     }
 
     pub fn start(&mut self, host: usize) {
+        if self.nodes[host].is_gone {
+            return;
+        }
         let seed = self.rng.random();
         let settings = self.settings.clone();
         self.nodes[host].start(&settings, seed);
@@ -134,12 +134,18 @@
     }
 
     pub fn lose_disk(&mut self, host: usize) {
-        self.lost_disks.insert(self.nodes[host].id.disk);
+        self.checker.lost_disks.insert(self.nodes[host].id.disk);
         self.requests.retain(|_, (node, _)| *node != host);
         self.nodes[host].lose_disk(self.next_disk);
         self.next_disk += 1;
     }
 
+    /// Removes a host for good, as an operator does who replaces it.
+    pub fn remove_host(&mut self, host: usize) {
+        self.crash(host);
+        self.nodes[host].is_gone = true;
+    }
+
     pub fn status(&self, host: usize) -> Option<ReplicaStatus> {
         self.nodes[host].replica.as_ref().map(|r| r.status())
     }
@@ -188,7 +194,12 @@
         }
         let node = &mut self.nodes[host];
         let Some(replica) = &node.replica else { return Ok(()) };
-        node.configuration = replica.status().configuration;
+        let status = replica.status();
+        node.configuration = status.configuration;
+        // A replica that starts again knows only what is stored of a commit.
+        if status.previous_configuration.is_some() || node.sync_due_ms.is_none() {
+            node.previous_configuration = status.previous_configuration;
+        }
         self.checker.on_step(&before, replica)?;
         if replica.is_snapshot_due() {
             let data = node.machine.snapshot();
@@ -376,6 +387,7 @@
             let is_behind = |node: &SimulatedNode| {
                 let status = node.replica.as_ref().map(|r| r.status());
                 leader.configuration.has_member(&node.id)
+                    && !node.is_gone
                     && status.is_none_or(|s| s.commit_index < leader.commit_index)
             };
             if !self.nodes.iter().any(is_behind) {
--- a/crates/control/src/replica/replacement.rs
+++ b/crates/control/src/replica/replacement.rs
@@ -11,8 +11,8 @@
 use tarragon_consensus::raft::MemberChange;
 
 /// Minimum number of voters that remain after the removal of a failed voter. With three, the loss
-/// of one disk loses no data. The removal of the predecessor of a replica that lost its disk may
-/// leave fewer.
+/// of one disk loses no data. The removal of a voter that has lost its disk may leave fewer: it can
+/// never vote again, and without it half of the voters may suffice after the next loss.
 const MIN_VOTERS: usize = 3;
 
 /// Number of voters from which a learner is promoted only while one of the voters has failed, so
@@ -31,18 +31,25 @@
     pub caught_up: BTreeSet<ReplicaId>,
     /// Members that have been unreachable for long enough to be replaced.
     pub failed: BTreeSet<ReplicaId>,
+    /// Members that have certainly lost their disks.
+    pub lost: BTreeSet<ReplicaId>,
     /// Replicas that are running, whether they are members or not.
     pub running: BTreeSet<ReplicaId>,
 }
 
 /// Returns the next change that makes the members match the running replicas, if one is needed.
 ///
-/// A replica that lost its disk counts as a new one. Its predecessor is removed once the new one
-/// has caught up, since two replicas with the same name cannot both vote. Any other failed voter is
-/// removed only while the log has more than `MIN_VOTERS` voters.
+/// A replica that lost its disk counts as a new one. Its predecessor is removed as soon as the loss
+/// is known, at the latest once the new one has caught up, since two replicas with the same name
+/// cannot both vote. Any other failed voter is removed only while the log has more than
+/// `MIN_VOTERS` voters.
 pub fn next_member_change(observation: &ReplicaObservation) -> Option<MemberChange> {
-    let ReplicaObservation { configuration, reachable, caught_up, failed, running } = observation;
+    let ReplicaObservation { configuration, reachable, caught_up, failed, lost, running } =
+        observation;
     let (voters, learners) = (&configuration.voters, &configuration.learners);
+    if let Some(member) = configuration.members().find(|id| lost.contains(*id)) {
+        return Some(MemberChange::Remove(member.clone()));
+    }
     let is_ready = |id: &&ReplicaId| caught_up.contains(*id) && reachable.contains(*id);
     for learner in learners.iter().filter(is_ready) {
         // The log refuses a second voter with the same name, so the predecessor is removed before
--- a/crates/control/src/replica/replacement/tests.rs
+++ b/crates/control/src/replica/replacement/tests.rs
@@ -22,6 +22,7 @@
         reachable: all.clone(),
         caught_up: all.clone(),
         failed: BTreeSet::new(),
+        lost: BTreeSet::new(),
         running: all,
     }
 }
@@ -103,6 +104,20 @@
     assert_eq!(observation.configuration, expected);
 }
 
+/// Guards against a lost voter that stays among the voters while other replicas catch up.
+#[test]
+fn a_voter_that_lost_its_disk_is_removed_before_other_changes() {
+    let mut observation = healthy_observation(&[id("a", 1), id("b", 2), id("c", 3), id("d", 4)]);
+    mark_failed(&mut observation, &id("c", 3));
+    mark_failed(&mut observation, &id("a", 1));
+    mark_running(&mut observation, &id("a", 9));
+    observation.lost.insert(id("a", 1));
+    assert_eq!(next_member_change(&observation), Some(MemberChange::Remove(id("a", 1))));
+    apply_changes(&mut observation);
+    let expected = ClusterConfiguration::from_voters([id("a", 9), id("b", 2), id("d", 4)]);
+    assert_eq!(observation.configuration, expected);
+}
+
 #[test]
 fn a_learner_that_has_not_caught_up_is_not_promoted() {
     let mut observation = healthy_observation(&[id("a", 1), id("b", 2), id("c", 3)]);
@@ -127,6 +142,10 @@
             }
             // A host runs one replica at a time.
             if current.is_none() || (is_failed && is_wiped) {
+                let earlier = observation.configuration.members().filter(|id| id.name == name);
+                let earlier: Vec<ReplicaId> = earlier.cloned().collect();
+                // The loss becomes known at once, or only by the successor that runs.
+                observation.lost.extend(earlier.into_iter().filter(|_| step % 2 == 0));
                 mark_running(&mut observation, &id(&name, 100 + step as u64));
             }
             apply_changes(&mut observation);
--- a/crates/control/src/replica/supervisor.rs
+++ b/crates/control/src/replica/supervisor.rs
@@ -151,6 +151,7 @@
             reachable,
             caught_up,
             failed,
+            lost: status.lost_members.clone(),
             running,
         }
     }
