Refuse late calls of a backend server that may outlast a stopping node

Cause: late in a stop the node asked only who sends a call, not how long it takes. Evidence: the record shows calls of 1.4 s answered up to 4.6 s after SIGTERM and cut at 6.0 s from then on.

Change: an attempt is made only if it ends before the process by its deadline, or by twice the longest recent call of its kind, calls in flight included. An unknown kind is refused.

--- a/crates/datapath/src/datapath/data_path.rs
+++ b/crates/datapath/src/datapath/data_path.rs
@@ -163,6 +163,7 @@
             catalogue: directory.catalogue(),
             members: directory.members(),
             metrics,
+            serving: serving.clone(),
         }));
         // The gate and the peer connections stop only after the listeners have finished their
         // requests, because those still use them.
--- a/crates/datapath/src/entry/caller_handler.rs
+++ b/crates/datapath/src/entry/caller_handler.rs
@@ -94,7 +94,7 @@
         drop(catalogue);
         let is_refused = match *self.serving.borrow() {
             ServingState::FinishingOnly => true,
-            ServingState::BackendCallsOnly => !self.expires_with_execution(&inbound),
+            ServingState::BackendCallsOnly { .. } => !self.expires_with_execution(&inbound),
             ServingState::NotReady | ServingState::Ready | ServingState::Closing => false,
         };
         if is_refused {
@@ -228,7 +228,9 @@
         }
         let is_closing = matches!(
             *self.serving.borrow(),
-            ServingState::Closing | ServingState::BackendCallsOnly | ServingState::FinishingOnly
+            ServingState::Closing
+                | ServingState::BackendCallsOnly { .. }
+                | ServingState::FinishingOnly
         );
         self.interface.write_response(result, is_closing)
     }
--- a/crates/datapath/src/entry/entry_body.rs
+++ b/crates/datapath/src/entry/entry_body.rs
@@ -13,15 +13,21 @@
 use tarragon_policy::routing::CallOutcome;
 use tarragon_policy::routing::CallResult;
 use tarragon_policy::routing::RoutePolicy;
+use tarragon_policy::stop::CallDurations;
+use tarragon_policy::stop::CallEnd;
+use tarragon_policy::stop::CallTicket;
 
 use crate::datapath::Clock;
+use crate::entry::outgoing_call::OutgoingCall;
 use crate::transport::Body;
 use crate::transport::BoxError;
 
-/// A call that the routing policy counts as in flight. Dropping the guard reports the end of the
-/// call to the policy.
+/// A call that the routing policy and the call durations count as in flight. Dropping the guard
+/// reports the end of the call to both.
 pub(crate) struct RouteGuard {
     route: Arc<Mutex<Box<dyn RoutePolicy>>>,
+    durations: Arc<Mutex<CallDurations>>,
+    ticket: CallTicket,
     clock: Clock,
     service: String,
     target: InstanceId,
@@ -37,17 +43,23 @@
 impl RouteGuard {
     pub(crate) fn start(
         route: &Arc<Mutex<Box<dyn RoutePolicy>>>,
+        durations: &Arc<Mutex<CallDurations>>,
         clock: Clock,
-        service: &str,
         target: InstanceId,
-        kind: u32,
+        call: &OutgoingCall,
     ) -> Self {
-        let service = service.to_string();
+        let (service, kind, now_us) = (call.service.clone(), call.kind, clock.now_us());
         let mut policy = route.lock().expect("no thread panics while it holds the lock");
-        policy.record_call_start(&service, target, clock.now_us());
+        policy.record_call_start(&service, target, now_us);
         drop(policy);
+        let ticket = durations
+            .lock()
+            .expect("no thread panics while it holds the lock")
+            .start(call.duration_kind, now_us);
         Self {
             route: Arc::clone(route),
+            durations: Arc::clone(durations),
+            ticket,
             clock,
             service,
             target,
@@ -77,8 +89,18 @@
         let elapsed = || crate::datapath::micros(self.started.elapsed());
         let latency_us = self.latency_us.unwrap_or_else(elapsed);
         let result = CallResult { latency_us, outcome: self.outcome, kind: self.kind };
+        let now_us = self.clock.now_us();
         let mut policy = self.route.lock().expect("no thread panics while it holds the lock");
-        policy.record_call_end(&self.service, self.target, &result, self.clock.now_us());
+        policy.record_call_end(&self.service, self.target, &result, now_us);
+        drop(policy);
+        let end = match self.outcome {
+            CallOutcome::Answered | CallOutcome::Errored => CallEnd::Complete,
+            CallOutcome::Failed | CallOutcome::Cancelled => CallEnd::Incomplete,
+            CallOutcome::Rejected | CallOutcome::NotRun => CallEnd::NotRun,
+        };
+        let mut durations =
+            self.durations.lock().expect("no thread panics while it holds the lock");
+        durations.end(self.ticket, end, now_us);
     }
 }
 
--- a/crates/datapath/src/entry/forwarder.rs
+++ b/crates/datapath/src/entry/forwarder.rs
@@ -20,6 +20,7 @@
 use tarragon_policy::routing::RouteDecision;
 use tarragon_policy::routing::RoutePolicy;
 use tarragon_policy::routing::RouteQuery;
+use tarragon_policy::stop::CallDurations;
 use tokio::sync::watch;
 use tracing::debug;
 use tracing::info;
@@ -28,6 +29,7 @@
 use crate::datapath::Clock;
 use crate::datapath::DataPathSettings;
 use crate::datapath::Metrics;
+use crate::datapath::ServingState;
 use crate::entry::entry_body::EntryBody;
 use crate::entry::entry_body::RouteGuard;
 use crate::entry::outgoing_call::OutgoingCall;
@@ -75,6 +77,8 @@
     pub members: watch::Receiver<Arc<Vec<MemberRecord>>>,
     /// Receives counters and durations.
     pub metrics: Arc<dyn Metrics>,
+    /// Whether the node accepts requests of callers, or stops.
+    pub serving: watch::Receiver<ServingState>,
 }
 
 /// Sends requests to gates, and retries them where that is safe and the retry tokens allow it.
@@ -83,6 +87,8 @@
     next_request: AtomicU64,
     next_attempt: AtomicU64,
     retry_log: LogRateLimiter,
+    /// How long calls take, by which a node that stops decides which calls it still takes.
+    durations: Arc<Mutex<CallDurations>>,
 }
 
 impl Forwarder {
@@ -94,6 +100,7 @@
             next_request: AtomicU64::new(1),
             next_attempt: AtomicU64::new(1),
             retry_log,
+            durations: Arc::default(),
         }
     }
 
@@ -164,6 +171,7 @@
         let mut server_attempts = 0;
         let mut reroutes = 0;
         loop {
+            self.check_end_before_stop(call)?;
             let target = self.choose_next(call, &excluded, last_failure)?;
             // An attempt after one that may have run repeats the work and the calls of that one.
             let repeat_share = if unknown.is_some() { 1.0 } else { repeat_share };
@@ -225,6 +233,7 @@
     ) -> Result<Response<Body>, CallFailure> {
         let owner = self.find_owner(call, key).await.map_err(owner_not_reached)?;
         loop {
+            self.check_end_before_stop(call).map_err(owner_not_reached)?;
             let failure = match self.attempt(call, owner, repeat_share).await {
                 Ok(response) => return Ok(response),
                 Err(failed) if failed.is_from_gate => return Err(failed.failure),
@@ -241,6 +250,34 @@
         }
     }
 
+    /// Refuses an attempt that may still run when the process is killed at the end of its stop. Its
+    /// response would be lost, while a refusal now is true.
+    fn check_end_before_stop(&self, call: &OutgoingCall) -> Result<(), CallFailure> {
+        let calls_end_at = match *self.dependencies.serving.borrow() {
+            ServingState::NotReady | ServingState::Ready | ServingState::Closing => return Ok(()),
+            ServingState::BackendCallsOnly { calls_end_at } => calls_end_at,
+            ServingState::FinishingOnly => return Err(Reason::Draining.into()),
+        };
+        let now_us = self.dependencies.clock.now_us();
+        let end_us = now_us + crate::datapath::remaining_us(calls_end_at);
+        let deadline_us = now_us + crate::datapath::remaining_us(call.deadline);
+        let durations = self.durations.lock().expect("no thread panics while it holds the lock");
+        if durations.ends_by(end_us, call.duration_kind, deadline_us, now_us) {
+            return Ok(());
+        }
+        drop(durations);
+        self.dependencies.metrics.count("entry.refused_before_stop", 1);
+        info!(
+            request = call.caller_request_id,
+            id = %call.context.request_id,
+            service = call.service,
+            left_ms = (end_us - now_us) / 1_000,
+            allowed_ms = (deadline_us - now_us) / 1_000,
+            "drain: call refused, it may outlast the process"
+        );
+        Err(Reason::Draining.into())
+    }
+
     fn take_token(&self, call: &OutgoingCall) -> bool {
         let now_us = self.dependencies.clock.now_us();
         self.retry().spend_token(call.ledger_span, &call.service, now_us)
@@ -341,10 +378,10 @@
         let dependencies = &self.dependencies;
         let mut guard = RouteGuard::start(
             &dependencies.route,
+            &self.durations,
             dependencies.clock,
-            &call.service,
             target,
-            call.kind,
+            call,
         );
         debug!("route: {} attempt {attempt} goes to {target}", call.context.request_id);
         let gate_call = call.gate_call(attempt, tokens, repeat_share);
--- a/crates/datapath/src/entry/outgoing_call.rs
+++ b/crates/datapath/src/entry/outgoing_call.rs
@@ -1,3 +1,6 @@
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::time::Instant;
 
 use http::header::HOST;
@@ -35,6 +38,8 @@
     pub(crate) fingerprint: RequestFingerprint,
     /// Identifier of the kind of request by which gates group measured run times.
     pub(crate) kind: u32,
+    /// Identifier of the kind of call by which the node groups how long its calls take.
+    pub(crate) duration_kind: u64,
     /// Request id that the caller sent, for logs.
     pub(crate) caller_request_id: String,
     /// Whether the node's backend server may have made the call while it runs another request.
@@ -62,6 +67,7 @@
         let body = body.map_err(|_| Reason::Late)?.map_err(|_| Reason::BadRequest)?;
         let fingerprint = fingerprint(&head, &body, &inbound);
         Ok(Self {
+            duration_kind: duration_kind(&inbound),
             fingerprint,
             service: inbound.service,
             head,
@@ -100,6 +106,12 @@
     }
 }
 
+fn duration_kind(inbound: &InboundRequest) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (&inbound.service, inbound.kind, inbound.rank, inbound.class as u8).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Fingerprint of a request. A body counts with its first bytes, so that it does not matter whether it
 /// comes with a length or in chunks.
 fn fingerprint(head: &Parts, body: &ReplayBody, inbound: &InboundRequest) -> RequestFingerprint {
--- a/crates/datapath/tests/datapath/keys.rs
+++ b/crates/datapath/tests/datapath/keys.rs
@@ -1,6 +1,7 @@
 //! Requests with idempotency keys, which run at most once.
 
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use tarragon_datapath::datapath::ServingState;
@@ -103,7 +104,8 @@
     let running = request(node.caller, "POST", "/weigh", &long, "12 kg");
     let during_run = async {
         started.notified().await;
-        cluster.serving.send_replace(ServingState::BackendCallsOnly);
+        let calls_end_at = sent_at + Duration::from_millis(2 * LONG_DEADLINE_MS as u64);
+        cluster.serving.send_replace(ServingState::BackendCallsOnly { calls_end_at });
         let before = backend.count();
         for other in ["60000", "5000"] {
             let refused = request(node.caller, "GET", "/", &deadline(other), "").await;
--- a/crates/datapath/tests/datapath/main.rs
+++ b/crates/datapath/tests/datapath/main.rs
@@ -11,6 +11,7 @@
 mod crashes;
 mod exits;
 mod keys;
+mod late_stop;
 mod lost;
 mod notices;
 mod peers;
--- a/crates/node/src/app/node.rs
+++ b/crates/node/src/app/node.rs
@@ -41,6 +41,7 @@
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 use tracing::warn;
@@ -82,8 +83,8 @@
 /// Delay before the newest revision is requested again from the replicated log, in ms.
 const CONFIRM_RETRY_MS: u64 = 100;
 
-/// Last part of the stop timeout, in which no more calls of the backend server are served, in ms. A
-/// call that starts in it could be cut when the process is killed.
+/// Last part of the stop timeout, in which no more calls of the backend server are served, in ms. It
+/// leaves time for the last responses to reach the backend server before the process is killed.
 const LAST_CALLS_MS: u64 = 500;
 
 /// Runs a node until SIGTERM or SIGINT, then drains it.
@@ -295,7 +296,6 @@
         let drain_notice = Duration::from_millis(limits.drain_notice_ms);
         let gate_notice = drain_notice.min(Duration::from_millis(limits.gate_notice_ms));
         let calls_period = Duration::from_millis(limits.stop_timeout_ms)
-            .saturating_sub(drain_notice)
             .saturating_sub(Duration::from_millis(LAST_CALLS_MS));
         let data_path = DataPath::bind(settings, self.data_path_dependencies.clone(), policies)
             .await
@@ -315,6 +315,7 @@
                 () = self.serve_callers() => {}
             }
             info!("drain: stop requested");
+            let calls_end_at = Instant::now() + calls_period;
             self.serving.send_replace(ServingState::Closing);
             // Callers take longer to switch to another node than peers do. The backend server does
             // not stop with the node, so it keeps serving requests from peers until the shorter
@@ -324,9 +325,10 @@
             tokio::time::sleep(gate_notice).await;
             // A request accepted after this point could still run when the process is killed at the
             // end of its stop timeout.
-            self.serving.send_replace(ServingState::BackendCallsOnly);
+            self.serving
+                .send_replace(ServingState::BackendCallsOnly { calls_end_at: calls_end_at.into() });
             let gate = data_path.gate();
-            if tokio::time::timeout(calls_period, gate.wait_until_idle()).await.is_err() {
+            if tokio::time::timeout_at(calls_end_at, gate.wait_until_idle()).await.is_err() {
                 info!("drain: no more calls are served before the process is killed");
                 self.serving.send_replace(ServingState::FinishingOnly);
                 gate.wait_until_idle().await;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod quarantine;
 pub mod retry;
 pub mod routing;
+pub mod stop;
