--- a/crates/consensus/src/protocol/raft_message.rs
+++ b/crates/consensus/src/protocol/raft_message.rs
@@ -38,7 +38,7 @@
     PreVoteReply {
         /// Whether the sender would vote for the receiver.
         is_granted: bool,
-        /// Lost members that the request named.
+        /// Lost members that the request named or the sender knew of before.
         lost_members: BTreeSet<ReplicaId>,
     },
     /// Requests a vote (section 3.4).
@@ -54,7 +54,7 @@
     VoteReply {
         /// Whether the sender votes for the receiver.
         is_granted: bool,
-        /// Lost members that the request named.
+        /// Lost members that the request named or the sender knew of before.
         lost_members: BTreeSet<ReplicaId>,
     },
     /// Entries to append, or a heartbeat if there are none (section 3.5).
--- a/crates/consensus/src/raft/election.rs
+++ b/crates/consensus/src/raft/election.rs
@@ -186,6 +186,7 @@
         let is_granted =
             term > self.term && !self.has_recent_leader() && self.is_up_to_date(last_entry);
         let reply_term = if is_granted { term } else { self.term };
+        let lost_members = &lost_members | &self.lost_members;
         let body = MessageBody::PreVoteReply { is_granted, lost_members };
         self.send_after_storage(from, reply_term, body);
     }
@@ -197,6 +198,7 @@
         is_granted: bool,
         lost_members: BTreeSet<ReplicaId>,
     ) {
+        self.learn_losses(&lost_members);
         if !is_granted {
             if term > self.term {
                 self.become_follower(term, None);
@@ -240,6 +242,7 @@
             }
             self.reset_election_timer();
         }
+        let lost_members = &lost_members | &self.lost_members;
         let body = MessageBody::VoteReply { is_granted, lost_members };
         self.send_after_storage(from, self.term, body);
     }
@@ -250,6 +253,7 @@
         is_granted: bool,
         lost_members: BTreeSet<ReplicaId>,
     ) {
+        self.learn_losses(&lost_members);
         let voter = self.counted_id(from);
         if let RoleState::Candidate { granted_by, .. } = &mut self.role {
             if is_granted {
--- a/crates/consensus/src/raft/quorum.rs
+++ b/crates/consensus/src/raft/quorum.rs
@@ -4,6 +4,8 @@
 //! and of those before. An even number of voters, one of which has certainly lost its disk, may
 //! decide by half of them. See `docs/design.md`, section 5.2.1.
 
+use std::collections::BTreeSet;
+
 use crate::protocol::ClusterConfiguration;
 use crate::protocol::MessageBody;
 use crate::protocol::ReplicaId;
@@ -76,6 +78,12 @@
         }
     }
 
+    /// Takes over the losses that another voter knows of: the host that reported them may be gone.
+    pub(super) fn learn_losses(&mut self, lost: &BTreeSet<ReplicaId>) {
+        let members = self.tracked_members();
+        self.lost_members.extend(lost.iter().filter(|id| members.contains(id)).cloned());
+    }
+
     /// Forgets the losses of replicas that are no members any more.
     pub(super) fn prune_lost_members(&mut self) {
         if self.lost_members.is_empty() {
