Have departures of backend servers held by other nodes

Cause: only the process that gave the acknowledgement remembered it. Evidence: the kill or the late announcement alone breaks nothing.

Change: a departure is acknowledged once two other nodes hold it, and a process that starts asks them before it announces its server.

--- a/crates/control/src/control/api/api_context.rs
+++ b/crates/control/src/control/api/api_context.rs
@@ -18,6 +18,8 @@
 use crate::control::ControlResponse;
 use crate::control::GateView;
 use crate::control::OperatorKey;
+use crate::departures::DepartureService;
+use crate::departures::HeldDepartures;
 use crate::replica::ReplicaAddresses;
 
 /// Dependencies of the endpoints.
@@ -40,6 +42,10 @@
     pub directory: Arc<dyn Directory>,
     /// Announcements of the local backend server.
     pub announcements: Arc<AnnouncementTracker>,
+    /// Has departures of the local backend server held by other nodes.
+    pub departures: Arc<DepartureService>,
+    /// Departures that this node holds for others.
+    pub held_departures: HeldDepartures,
     /// The gate in front of the local backend server.
     pub gate: Arc<dyn GateView>,
     /// Secret key shared by the nodes.
--- a/crates/control/src/control/api/backend.rs
+++ b/crates/control/src/control/api/backend.rs
@@ -11,6 +11,7 @@
 use tarragon_model::api::Announcement;
 use tarragon_model::api::DrainAnswer;
 use tarragon_model::api::DrainRequest;
+use tarragon_model::api::ServerDeparture;
 use tarragon_model::member::BackendState;
 use tracing::info;
 
@@ -50,7 +51,15 @@
         let message = format!("ttl_ms must be at least {MIN_TTL_MS}");
         return Err(HttpError::for_bad_request(None, message));
     }
+    let departure = announcement.server.as_ref().filter(|_| announcement.draining);
+    let departure = departure.map(ServerDeparture::of);
     request.context().announcements.announce(announcement);
+    if let Some(departure) = departure {
+        if !request.context().departures.hold(&departure).await {
+            let cause = "too few other nodes hold the departure; repeat it".to_string();
+            return Err(HttpError::for_unavail(None, cause));
+        }
+    }
     Ok(HttpResponseUpdatedNoContent())
 }
 
--- a/crates/control/src/control/api/internal.rs
+++ b/crates/control/src/control/api/internal.rs
@@ -9,6 +9,7 @@
 use dropshot::RequestContext;
 use dropshot::UntypedBody;
 use schemars::JsonSchema;
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde::Serialize;
 use tarragon_wire::decode_authenticated;
@@ -19,6 +20,7 @@
 use crate::control::ControlFailure;
 use crate::control::ControlRequest;
 use crate::control::ControlResult;
+use crate::departures::DepartureRequest;
 
 /// Query for the changes after a revision.
 #[derive(Debug, Deserialize, JsonSchema)]
@@ -33,17 +35,7 @@
     body: UntypedBody,
 ) -> Result<HttpResponseOk<FreeformBody>, HttpError> {
     let context = request.context();
-    let decoded_request = decode_authenticated::<ControlRequest>(
-        &context.deployment_key,
-        MessageChannel::Replica,
-        body.as_bytes(),
-    );
-    let decoded_request = decoded_request.map_err(|e| {
-        let from = request.request.remote_addr();
-        let message = || format!("note: dropped a control request from {from}: {e}");
-        context.peer_auth_failures.record(message);
-        HttpError::for_client_error(None, ClientErrorStatusCode::FORBIDDEN, e.to_string())
-    })?;
+    let decoded_request: ControlRequest = sealed_request(&request, &body)?;
     let result: ControlResult = match &context.local_log {
         Some(log) => log.request(&decoded_request).await,
         None => Err(ControlFailure::NotLeader { leader: None }),
@@ -51,6 +43,17 @@
     sealed_response(context, &result)
 }
 
+/// Holds a departure for another node, or returns those that are held for it.
+#[endpoint { method = POST, path = "/v1/departures" }]
+pub async fn departures(
+    request: RequestContext<Arc<ApiContext>>,
+    body: UntypedBody,
+) -> Result<HttpResponseOk<FreeformBody>, HttpError> {
+    let context = request.context();
+    let decoded_request: DepartureRequest = sealed_request(&request, &body)?;
+    sealed_response(context, &context.held_departures.answer(&decoded_request))
+}
+
 /// Returns the changes of the catalogue after a revision to another node.
 #[endpoint { method = GET, path = "/v1/catalogue" }]
 pub async fn catalogue_changes(
@@ -72,6 +75,21 @@
     sealed_response(context, members.as_ref())
 }
 
+/// Decodes a request of another node, authenticated with the deployment key.
+fn sealed_request<T: DeserializeOwned>(
+    request: &RequestContext<Arc<ApiContext>>,
+    body: &UntypedBody,
+) -> Result<T, HttpError> {
+    let context = request.context();
+    let key = &context.deployment_key;
+    decode_authenticated(key, MessageChannel::Replica, body.as_bytes()).map_err(|e| {
+        let from = request.request.remote_addr();
+        let message = || format!("note: dropped a request of another node from {from}: {e}");
+        context.peer_auth_failures.record(message);
+        HttpError::for_client_error(None, ClientErrorStatusCode::FORBIDDEN, e.to_string())
+    })
+}
+
 /// Builds a response for another node, authenticated with the deployment key.
 pub fn sealed_response<T: Serialize>(
     context: &ApiContext,
--- a/crates/control/src/control/api/server.rs
+++ b/crates/control/src/control/api/server.rs
@@ -86,7 +86,8 @@
         .and_then(|()| api.register(status::list_members))
         .and_then(|()| api.register(internal::control_request))
         .and_then(|()| api.register(internal::catalogue_changes))
-        .and_then(|()| api.register(internal::full_members));
+        .and_then(|()| api.register(internal::full_members))
+        .and_then(|()| api.register(internal::departures));
     registered.expect("no two endpoints share a method and a path");
     api
 }
--- /dev/null
+++ b/crates/control/src/departures/departure_service.rs
@@ -0,0 +1,242 @@
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use error_stack::Report;
+use futures_util::stream::FuturesUnordered;
+use futures_util::StreamExt;
+use tarragon_datapath::backend::AnnouncementTracker;
+use tarragon_datapath::directory::Directory;
+use tarragon_kernel::Kernel;
+use tarragon_kernel::KernelError;
+use tarragon_kernel::Service;
+use tarragon_model::api::ServerDeparture;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tracing::info;
+use tracing::warn;
+
+use crate::departures::holders::choose_holders;
+use crate::departures::DepartureRequest;
+use crate::departures::HolderClient;
+
+/// Minimum number of other nodes that hold a departure when it is acknowledged, if there are as many.
+/// With two, the node and one of them may fail at the same time.
+const MIN_HOLDERS: usize = 2;
+
+/// Time after which holders that have not responded are not waited for, if enough of them have.
+const SETTLE_TIME: Duration = Duration::from_millis(150);
+
+/// Time limit for having a departure held. The platform's backend servers wait a second for the
+/// acknowledgement.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(850);
+
+/// Pause between two rounds of requests to the holders.
+const ROUND_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time after the first response to a new process, after which holders that do not respond are not
+/// waited for. Nodes that are down or cut off are among the members for some time.
+const FIND_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time after which a new process announces its backend server although nobody could be asked. It is
+/// longer than announcements are late, and as long as the node waits for the catalogue.
+const ASK_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Maximum number of departures that are remembered as held.
+const MAX_CONFIRMED: usize = 16;
+
+/// Dependencies of a [`DepartureService`].
+pub struct DepartureServiceDependencies {
+    /// Name of this node, which stays the same when it restarts.
+    pub node_name: String,
+    /// Data centre of this node.
+    pub data_centre: String,
+    /// Whether the settings name no other node, so that nobody can hold anything for this one.
+    pub is_alone: bool,
+    /// The node's view of the members, among which holders are chosen.
+    pub directory: Arc<dyn Directory>,
+    /// Announcements of the local backend server, which are held back until the holders were asked.
+    pub announcements: Arc<AnnouncementTracker>,
+    /// Sends requests to the holders.
+    pub client: Arc<dyn HolderClient>,
+}
+
+/// Has the departures of the local backend server held by other nodes, and learns at the start which
+/// ones an earlier process of this node has acknowledged.
+pub struct DepartureService {
+    dependencies: DepartureServiceDependencies,
+    confirmed: Mutex<Vec<ServerDeparture>>,
+    /// Whether the holders were asked at the start. Until then, some of them may not be known yet.
+    is_recovered: AtomicBool,
+}
+
+impl DepartureService {
+    /// Creates the service. The announcements are held back until it runs and has asked the holders.
+    pub fn new(dependencies: DepartureServiceDependencies) -> Self {
+        if !dependencies.is_alone {
+            dependencies.announcements.hold_back();
+        }
+        Self { dependencies, confirmed: Mutex::default(), is_recovered: AtomicBool::new(false) }
+    }
+
+    /// Has a departure held by other nodes. Returns whether enough of them hold it, so that it may be
+    /// acknowledged; the backend server repeats it otherwise.
+    pub async fn hold(&self, departure: &ServerDeparture) -> bool {
+        if self.dependencies.is_alone || self.is_confirmed(departure) {
+            return true;
+        }
+        let started = Instant::now();
+        let request = DepartureRequest::Hold {
+            node: self.dependencies.node_name.clone(),
+            departure: departure.clone(),
+        };
+        while started.elapsed() < HOLD_TIMEOUT {
+            let round = self.ask_holders(&request, MIN_HOLDERS, SETTLE_TIME);
+            let left = HOLD_TIMEOUT.saturating_sub(started.elapsed());
+            let responses = tokio::time::timeout(left, round).await.unwrap_or_default();
+            let holds = |held: &&Vec<ServerDeparture>| held.iter().any(|h| h.covers(departure));
+            let held_count = responses.iter().filter(holds).count();
+            let holder_count = self.holders().len();
+            let needed = match self.is_recovered.load(Ordering::Relaxed) {
+                true => MIN_HOLDERS.min(holder_count).max(1),
+                false => MIN_HOLDERS,
+            };
+            if held_count >= needed {
+                self.confirm(departure);
+                return true;
+            }
+            tokio::time::sleep(ROUND_PAUSE).await;
+        }
+        warn!(
+            server = departure.id,
+            started_at_ms = departure.started_at_ms,
+            "drain: a departure is not acknowledged, too few other nodes hold it"
+        );
+        false
+    }
+
+    /// Asks the holders which departures earlier processes of this node have acknowledged, and then lets
+    /// the announcements through.
+    ///
+    /// Two holders at least have each departure, so all but one of them must respond. Members become
+    /// known one after the other, so they must be the same ones in two rounds.
+    async fn recover(&self) {
+        let started = Instant::now();
+        let mut first_response = None;
+        let mut previous_holders = BTreeSet::new();
+        let mut found: Vec<ServerDeparture> = Vec::new();
+        let request = DepartureRequest::Find { node: self.dependencies.node_name.clone() };
+        let is_complete = loop {
+            let holders: BTreeSet<SocketAddr> = self.holders().into_iter().collect();
+            let responses = self.ask_holders(&request, usize::MAX, Duration::ZERO).await;
+            let response_count = responses.len();
+            if response_count > 0 {
+                first_response.get_or_insert_with(Instant::now);
+            }
+            found.extend(responses.into_iter().flatten());
+            let is_settled = !holders.is_empty() && holders == previous_holders;
+            if is_settled && response_count + 1 >= holders.len().max(MIN_HOLDERS) {
+                break true;
+            }
+            if first_response.is_some_and(|at: Instant| at.elapsed() >= FIND_TIMEOUT) {
+                break true;
+            }
+            if started.elapsed() >= ASK_TIMEOUT {
+                break false;
+            }
+            previous_holders = holders;
+            tokio::time::sleep(ROUND_PAUSE).await;
+        };
+        let elapsed_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        if is_complete {
+            info!(
+                departures = found.len(),
+                elapsed_ms, "drain: asked for departures before the start"
+            );
+        } else {
+            warn!(elapsed_ms, "drain: nobody could be asked for departures before the start");
+        }
+        self.is_recovered.store(true, Ordering::Relaxed);
+        self.dependencies.announcements.release(&found);
+    }
+
+    fn holders(&self) -> Vec<SocketAddr> {
+        let DepartureServiceDependencies { node_name, data_centre, directory, .. } =
+            &self.dependencies;
+        let members = directory.members().borrow().clone();
+        let holders = choose_holders(node_name, data_centre, &members);
+        holders.into_iter().map(|holder| holder.control_address).collect()
+    }
+
+    /// Sends a request to all holders at once and returns their responses. Once `enough` have
+    /// responded, the others are waited for until `settle_time` has passed.
+    async fn ask_holders(
+        &self,
+        request: &DepartureRequest,
+        enough: usize,
+        settle_time: Duration,
+    ) -> Vec<Vec<ServerDeparture>> {
+        let holders = self.holders();
+        let client = &self.dependencies.client;
+        let queries = holders.iter().map(|holder| client.send(*holder, request));
+        let mut queries: FuturesUnordered<_> = queries.collect();
+        let settled_at = Instant::now() + settle_time;
+        let mut responses = Vec::new();
+        loop {
+            let response = if responses.len() >= enough {
+                match tokio::time::timeout_at(settled_at, queries.next()).await {
+                    Ok(response) => response,
+                    Err(_) => return responses,
+                }
+            } else {
+                queries.next().await
+            };
+            match response {
+                Some(response) => responses.extend(response),
+                None => return responses,
+            }
+        }
+    }
+
+    fn is_confirmed(&self, departure: &ServerDeparture) -> bool {
+        let confirmed = self.confirmed.lock().expect("no thread panics while it holds the lock");
+        confirmed.iter().any(|confirmed| confirmed.covers(departure))
+    }
+
+    fn confirm(&self, departure: &ServerDeparture) {
+        let mut confirmed =
+            self.confirmed.lock().expect("no thread panics while it holds the lock");
+        confirmed.retain(|confirmed| !departure.covers(confirmed));
+        if confirmed.len() >= MAX_CONFIRMED {
+            confirmed.remove(0);
+        }
+        confirmed.push(departure.clone());
+    }
+}
+
+#[async_trait]
+impl Service for DepartureService {
+    fn name(&self) -> &'static str {
+        "departures"
+    }
+
+    async fn run(
+        self: Arc<Self>,
+        _kernel: Arc<Kernel>,
+        stop: CancellationToken,
+    ) -> Result<(), Report<KernelError>> {
+        if !self.dependencies.is_alone {
+            tokio::select! {
+                () = stop.cancelled() => return Ok(()),
+                () = self.recover() => {}
+            }
+        }
+        stop.cancelled().await;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/control/src/departures/mod.rs
@@ -0,0 +1,19 @@
+//! Departures of backend servers, which other nodes hold as well.
+//!
+//! A node that acknowledges a departure promises that the server gets no more requests. A node
+//! without a disk forgets the promise when its process ends, so other nodes hold it before it is given,
+//! and tell it to the next process of the node. See `docs/design.md`, section 5.4.1.
+
+mod departure_request;
+mod departure_service;
+mod held_departures;
+mod holder_client;
+mod holders;
+
+pub use departure_request::DepartureRequest;
+pub use departure_service::DepartureService;
+pub use departure_service::DepartureServiceDependencies;
+pub use held_departures::HeldDepartures;
+pub use holder_client::ControlHolderClient;
+pub use holder_client::HolderClient;
+pub use holder_client::DEPARTURES_PATH;
--- /dev/null
+++ b/crates/control/tests/control/departures.rs
@@ -0,0 +1,328 @@
+//! Departures of backend servers, through restarts of the node beside them, cuts and late
+//! announcements.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use tarragon_control::departures::DepartureRequest;
+use tarragon_control::departures::DepartureService;
+use tarragon_control::departures::DepartureServiceDependencies;
+use tarragon_control::departures::HeldDepartures;
+use tarragon_control::departures::HolderClient;
+use tarragon_datapath::backend::AnnouncementTracker;
+use tarragon_datapath::directory::DirectoryWatch;
+use tarragon_kernel::Kernel;
+use tarragon_kernel::Service;
+use tarragon_model::api::Announcement;
+use tarragon_model::api::ServerDeparture;
+use tarragon_model::api::ServerIdentity;
+use tarragon_model::identity::InstanceId;
+use tarragon_model::member::BackendState;
+use tarragon_model::member::MemberRecord;
+use tarragon_testkit::check_property;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+/// Name of the node whose backend server leaves.
+const LEAVING: &str = "leaving";
+
+/// Time for which a request to a holder that is cut off waits, in ms.
+const CUT_OFF_TIMEOUT_MS: u64 = 350;
+
+/// Start and id of the server that leaves.
+const STARTED_AT_MS: u64 = 5_000;
+const SERVER: &str = "i-7";
+
+/// Why a lock can be taken.
+const NO_PANIC: &str = "no thread panics while it holds the lock";
+
+/// Time that a server has for sending a departure again without an acknowledgement, in ms.
+const PATIENCE_MS: u64 = 4_000;
+
+/// Other nodes of the deployment, in memory.
+#[derive(Default)]
+struct Holders {
+    held: Mutex<BTreeMap<SocketAddr, Arc<HeldDepartures>>>,
+    unreachable: Mutex<BTreeSet<SocketAddr>>,
+}
+
+impl Holders {
+    /// Restarts a holder, which forgets what it holds.
+    fn restart(&self, holder: SocketAddr) {
+        self.held.lock().expect(NO_PANIC).insert(holder, Arc::default());
+    }
+
+    fn set_unreachable(&self, holders: impl IntoIterator<Item = SocketAddr>) {
+        *self.unreachable.lock().expect(NO_PANIC) = holders.into_iter().collect();
+    }
+}
+
+#[async_trait]
+impl HolderClient for Holders {
+    async fn send(
+        &self,
+        holder: SocketAddr,
+        request: &DepartureRequest,
+    ) -> Option<Vec<ServerDeparture>> {
+        if self.unreachable.lock().expect(NO_PANIC).contains(&holder) {
+            tokio::time::sleep(Duration::from_millis(CUT_OFF_TIMEOUT_MS)).await;
+            return None;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        let held = Arc::clone(self.held.lock().expect(NO_PANIC).get(&holder)?);
+        Some(held.answer(request))
+    }
+}
+
+/// Addresses of hosts in three data centres, each with a control replica and nodes beside backend
+/// servers; the node of this test is in the first one.
+struct Deployment {
+    holders: Arc<Holders>,
+    members: watch::Sender<Arc<Vec<MemberRecord>>>,
+}
+
+impl Deployment {
+    fn new() -> Self {
+        let mut members = vec![member(LEAVING, 0, 0, false)];
+        for data_centre in 0..3 {
+            members.push(member(&format!("core-{data_centre}"), data_centre, 10, true));
+            for node in 1..=4 {
+                members.push(member(
+                    &format!("node-{data_centre}-{node}"),
+                    data_centre,
+                    node,
+                    false,
+                ));
+            }
+        }
+        let holders: Arc<Holders> = Arc::default();
+        for member in &members {
+            holders.restart(member.control_address);
+        }
+        Self { holders, members: watch::Sender::new(Arc::new(members)) }
+    }
+
+    fn addresses(&self, is_wanted: impl Fn(&MemberRecord) -> bool) -> Vec<SocketAddr> {
+        let members = self.members.borrow();
+        members.iter().filter(|m| is_wanted(m)).map(|m| m.control_address).collect()
+    }
+
+    /// Starts a process of the node.
+    fn start(&self) -> Process {
+        let (_, catalogue) = watch::channel(Arc::default());
+        let announcements = Arc::new(AnnouncementTracker::default());
+        let service = Arc::new(DepartureService::new(DepartureServiceDependencies {
+            node_name: LEAVING.into(),
+            data_centre: "dc-0".into(),
+            is_alone: false,
+            directory: Arc::new(DirectoryWatch::new(catalogue, self.members.subscribe())),
+            announcements: Arc::clone(&announcements),
+            client: Arc::clone(&self.holders) as _,
+        }));
+        let stop = CancellationToken::new();
+        let running = Arc::clone(&service).run(Arc::new(Kernel::new()), stop.clone());
+        let task =
+            tokio::spawn(async move { running.await.expect("the service ends without error") });
+        Process { announcements, service, task }
+    }
+}
+
+fn member(name: &str, data_centre: u8, host: u8, has_replica: bool) -> MemberRecord {
+    let address = SocketAddr::from(([127, 0, data_centre, host + 1], 9_000));
+    MemberRecord {
+        node: name.into(),
+        instance: InstanceId(u64::from(data_centre) * 100 + u64::from(host)),
+        data_centre: format!("dc-{data_centre}"),
+        region: "south".into(),
+        gossip_address: address,
+        peer_address: address,
+        control_address: address,
+        replica_address: has_replica.then_some(address),
+        service: "counter".into(),
+        state: BackendState::Ready,
+        version: 1,
+        revision: 1,
+    }
+}
+
+/// A process of the node; dropping it kills the process.
+struct Process {
+    announcements: Arc<AnnouncementTracker>,
+    service: Arc<DepartureService>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Process {
+    fn announce(&self, started_at_ms: u64, sequence: u64, draining: bool) {
+        self.announcements.announce(Announcement {
+            service: "counter".into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 9_001)),
+            slots: 10,
+            cold_start_ms: 0,
+            ttl_ms: 4_500,
+            draining,
+            server: Some(ServerIdentity { id: SERVER.into(), started_at_ms, sequence }),
+        });
+    }
+
+    /// Tells the process that the server leaves, as a state or as a departure with or without its start.
+    /// Returns whether it is acknowledged.
+    async fn leave(&self, kind: usize) -> bool {
+        let departure = match kind {
+            0 => {
+                self.announce(STARTED_AT_MS, 10, true);
+                ServerDeparture { id: SERVER.into(), started_at_ms: STARTED_AT_MS }
+            }
+            1 => self.announcements.departure(SERVER, Some(STARTED_AT_MS)),
+            _ => self.announcements.departure(SERVER, None),
+        };
+        self.announcements.mark_leaving(&departure);
+        self.service.hold(&departure).await
+    }
+
+    fn state(&self) -> BackendState {
+        self.announcements.current_status().state
+    }
+}
+
+async fn sleep_ms(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+/// Plays a departure and restarts of the node. Returns an error if the server gets requests after it.
+async fn play(seed: u64) -> Result<(), String> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let deployment = Deployment::new();
+    let mut process = deployment.start();
+    // The node may have started just before the departure, and know neither server nor members.
+    let is_new = rng.random_bool(0.3);
+    let kind = rng.random_range(0..3);
+    if is_new {
+        sleep_ms(rng.random_range(0..1_000)).await;
+    } else {
+        process.announce(STARTED_AT_MS, 9, false);
+        sleep_ms(1_500).await;
+        if process.state() != BackendState::Ready {
+            return Err("the server is not announced".into());
+        }
+    }
+    // The data centre may be cut off just before, until any later moment, or single holders be down.
+    match rng.random_range(0..4) {
+        0 => deployment
+            .holders
+            .set_unreachable(deployment.addresses(|member| member.data_centre != "dc-0")),
+        1 => deployment
+            .holders
+            .set_unreachable(deployment.addresses(|member| member.replica_address.is_some())),
+        2 => {
+            let all = deployment.addresses(|_| true);
+            let down = all[rng.random_range(0..all.len())];
+            deployment.holders.set_unreachable([down]);
+        }
+        _ => {}
+    }
+    let started = tokio::time::Instant::now();
+    while !process.leave(kind).await {
+        if started.elapsed() > Duration::from_millis(PATIENCE_MS) {
+            return Err("the departure is not acknowledged".into());
+        }
+    }
+    if process.state().is_serving() {
+        return Err("the server gets requests after the acknowledgement".into());
+    }
+    // The node is killed at once, up to three times, and down for a while each time.
+    for _ in 0..rng.random_range(1..=3) {
+        drop(process);
+        sleep_ms(rng.random_range(100..5_000)).await;
+        if rng.random_bool(0.5) {
+            deployment.holders.set_unreachable([]);
+        }
+        // One of the holders may have been restarted meanwhile.
+        if rng.random_bool(0.1) {
+            let all = deployment.addresses(|member| member.node != LEAVING);
+            deployment.holders.restart(all[rng.random_range(0..all.len())]);
+        }
+        process = deployment.start();
+        sleep_ms(rng.random_range(0..3_000)).await;
+    }
+    process.announce(STARTED_AT_MS, 8, false);
+    for _ in 0..50 {
+        if process.state().is_serving() {
+            return Err("a late announcement brings the server back".into());
+        }
+        sleep_ms(100).await;
+    }
+    // Its successor with the same id gets requests as soon as its node has asked.
+    let started_at_ms = if kind == 2 { u64::MAX / 2 } else { STARTED_AT_MS + 1 };
+    process.announce(started_at_ms, 0, false);
+    if !process.state().is_serving() {
+        return Err("a later start with the same id gets no requests".into());
+    }
+    Ok(())
+}
+
+/// Guards against a server whose departure was acknowledged and that gets requests again after a
+/// restart of its node and a late announcement (case 3 of the review).
+#[test]
+fn a_departure_is_kept_through_restarts_of_the_node() {
+    fn property(seed: u64) -> Result<(), String> {
+        let mut builder = tokio::runtime::Builder::new_current_thread();
+        let runtime = builder
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime without I/O can be built");
+        runtime.block_on(play(seed))
+    }
+    check_property(131, 400, property as fn(u64) -> Result<(), String>);
+}
+
+/// Guards against an acknowledgement that only the node itself remembers, and against a node that
+/// never announces its server because nobody can be asked.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_is_cut_off_acknowledges_no_departure_and_announces_its_server_late() {
+    let deployment = Deployment::new();
+    deployment.holders.set_unreachable(deployment.addresses(|_| true));
+    let process = deployment.start();
+    process.announce(STARTED_AT_MS, 9, false);
+    assert!(!process.leave(1).await);
+    assert_eq!(process.state(), BackendState::Absent);
+    drop(process);
+    let process = deployment.start();
+    for _ in 0..10 {
+        process.announce(STARTED_AT_MS, 9, false);
+        sleep_ms(1_000).await;
+        assert_eq!(process.state(), BackendState::Absent, "nobody was asked yet");
+    }
+    sleep_ms(10_000).await;
+    process.announce(STARTED_AT_MS, 10, false);
+    assert_eq!(process.state(), BackendState::Ready);
+}
+
+/// Guards against a departure that one node alone holds because no other one is known yet.
+#[tokio::test(start_paused = true)]
+async fn a_departure_is_not_acknowledged_by_one_holder_of_many() {
+    let deployment = Deployment::new();
+    let one_core = deployment.addresses(|member| member.node == "core-1");
+    deployment.holders.set_unreachable(deployment.addresses(|m| m.control_address != one_core[0]));
+    let process = deployment.start();
+    sleep_ms(3_000).await;
+    assert!(!process.leave(1).await);
+    deployment.holders.set_unreachable([]);
+    assert!(process.leave(1).await);
+}
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -2,5 +2,6 @@
 
 mod catalogue_follower;
 mod control_state;
+mod departures;
 mod fake_peer;
 mod remote_log;
--- a/crates/datapath/src/backend/announcement_tracker.rs
+++ b/crates/datapath/src/backend/announcement_tracker.rs
@@ -1,13 +1,16 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use async_trait::async_trait;
 use error_stack::Report;
 use tarragon_kernel::Kernel;
 use tarragon_kernel::KernelError;
 use tarragon_kernel::Service;
+use tarragon_model::api::unix_ms;
 use tarragon_model::api::Announcement;
+use tarragon_model::api::ServerDeparture;
 use tarragon_model::api::ServerIdentity;
 use tarragon_model::member::BackendState;
 use tokio::sync::watch;
@@ -21,6 +24,9 @@
 /// Interval between checks for an expired announcement or an ended cold start, in ms.
 const CHECK_INTERVAL_MS: u64 = 100;
 
+/// Maximum number of departures that are remembered. A host has one backend server at a time.
+const MAX_DEPARTURES: usize = 16;
+
 /// Tracks the announcements of the node's backend server and derives the server's status from them.
 ///
 /// A backend server may identify itself. Its identity contains the start time of its process, so
@@ -38,25 +44,17 @@
     /// Identity in the latest announcement of the latest process that identified itself. It is kept
     /// after that process has left, so that late announcements are still recognised.
     latest_identity: Option<ServerIdentity>,
-    /// Latest process that has announced that it is leaving. It may be unknown otherwise: if this
+    /// Processes that have announced that they are leaving. They may be unknown otherwise: if this
     /// node has just started, the first thing it hears of a process may be its departure, and late
     /// announcements of that process may follow.
-    departure: Option<Departure>,
+    departures: Vec<ServerDeparture>,
+    /// Whether the server is not announced yet, because the departures that an earlier process of
+    /// this node has acknowledged are not known.
+    is_held_back: bool,
     expires_at: Option<Instant>,
     is_drained_by_operator: bool,
 }
 
-struct Departure {
-    id: String,
-    started_at_ms: u64,
-}
-
-impl Departure {
-    fn includes(&self, server: &ServerIdentity) -> bool {
-        self.id == server.id && server.started_at_ms <= self.started_at_ms
-    }
-}
-
 impl Default for AnnouncementTracker {
     fn default() -> Self {
         let (status, _) = watch::channel(BackendStatus::absent());
@@ -73,7 +71,7 @@
         let now = Instant::now();
         let mut state = self.state.lock().expect("no thread panics while it holds the lock");
         if let Some(server) = &announcement.server {
-            if !state.accept_identity(server) {
+            if !state.accept_identity(server, announcement.draining) {
                 info!(
                     server = server.id,
                     started_at_ms = server.started_at_ms,
@@ -96,27 +94,50 @@
         true
     }
 
+    /// Holds back the announcements until [`Self::release`].
+    pub fn hold_back(&self) {
+        let mut state = self.state.lock().expect("no thread panics while it holds the lock");
+        state.is_held_back = true;
+        self.update_status(&mut state, Instant::now());
+    }
+
+    /// Takes over the departures that an earlier process of this node has acknowledged, and lets the
+    /// announcements through.
+    pub fn release(&self, departures: &[ServerDeparture]) {
+        let mut state = self.state.lock().expect("no thread panics while it holds the lock");
+        state.is_held_back = false;
+        for departure in departures {
+            info!(
+                server = departure.id,
+                started_at_ms = departure.started_at_ms,
+                "drain: the backend server left before this process started"
+            );
+            state.record_departure(departure.clone());
+        }
+        self.update_status(&mut state, Instant::now());
+    }
+
+    /// The departure that a backend server means. Without a start, it is that of the latest one that is
+    /// known with this id, or else of any that has begun until now: a later one begins only after this
+    /// one has ended.
+    pub fn departure(&self, id: &str, started_at_ms: Option<u64>) -> ServerDeparture {
+        let state = self.state.lock().expect("no thread panics while it holds the lock");
+        let latest = state.latest_identity.as_ref().filter(|latest| latest.id == id);
+        let started_at_ms = started_at_ms
+            .or(latest.map(|latest| latest.started_at_ms))
+            .unwrap_or_else(|| unix_ms(SystemTime::now()));
+        ServerDeparture { id: id.to_string(), started_at_ms }
+    }
+
     /// Records that a backend server process accepts no more requests and will exit. Requests in
     /// progress continue. Returns false if it is not the process whose announcements were recorded
     /// last.
-    pub fn mark_leaving(&self, id: &str, started_at_ms: Option<u64>) -> bool {
-        let now = Instant::now();
+    pub fn mark_leaving(&self, departure: &ServerDeparture) -> bool {
         let mut state = self.state.lock().expect("no thread panics while it holds the lock");
-        let latest = state.latest_identity.as_ref();
-        let latest_start_ms = latest.filter(|latest| latest.id == id).map(|l| l.started_at_ms);
-        let Some(started_at_ms) = started_at_ms.or(latest_start_ms) else { return false };
-        if latest.is_some_and(|latest| latest.started_at_ms > started_at_ms) {
-            return false;
-        }
-        state.departure = Some(Departure { id: id.to_string(), started_at_ms });
-        if latest_start_ms != Some(started_at_ms) {
-            return false;
-        }
-        if let Some(announcement) = &mut state.announcement {
-            announcement.draining = true;
-        }
-        self.update_status(&mut state, now);
-        true
+        state.record_departure(departure.clone());
+        self.update_status(&mut state, Instant::now());
+        let is_latest = |latest: &ServerIdentity| ServerDeparture::of(latest) == *departure;
+        state.latest_identity.as_ref().is_some_and(is_latest)
     }
 
     /// Removes the announcement, because the backend server has withdrawn it.
@@ -170,18 +191,39 @@
 impl TrackerState {
     /// Records the identity in an announcement. Returns false if the announcement is older than the
     /// latest one or its process has left.
-    fn accept_identity(&mut self, server: &ServerIdentity) -> bool {
-        let has_left = self.departure.as_ref().is_some_and(|departure| departure.includes(server));
-        if has_left || self.latest_identity.as_ref().is_some_and(|latest| server.is_before(latest))
+    fn accept_identity(&mut self, server: &ServerIdentity, is_draining: bool) -> bool {
+        let has_left = self.departures.iter().any(|departure| departure.includes(server));
+        if (has_left && !is_draining)
+            || self.latest_identity.as_ref().is_some_and(|latest| server.is_before(latest))
         {
             return false;
         }
         self.latest_identity = Some(server.clone());
+        if is_draining {
+            self.record_departure(ServerDeparture::of(server));
+        }
         true
     }
 
+    /// Records a departure, and drains the server if it is the one that is announced.
+    fn record_departure(&mut self, departure: ServerDeparture) {
+        if let Some(announcement) = &mut self.announcement {
+            announcement.draining |=
+                announcement.server.as_ref().is_some_and(|server| departure.includes(server));
+        }
+        if self.departures.iter().any(|known| known.covers(&departure)) {
+            return;
+        }
+        self.departures.retain(|known| !departure.covers(known));
+        if self.departures.len() >= MAX_DEPARTURES {
+            self.departures.remove(0);
+        }
+        self.departures.push(departure);
+    }
+
     fn status(&self, now: Instant) -> BackendStatus {
-        let Some(announcement) = &self.announcement else { return BackendStatus::absent() };
+        let announcement = self.announcement.as_ref().filter(|_| !self.is_held_back);
+        let Some(announcement) = announcement else { return BackendStatus::absent() };
         let is_cold = self.cold_start_end.is_some_and(|end| now < end);
         let state = if announcement.draining || self.is_drained_by_operator {
             BackendState::Draining
@@ -209,7 +251,7 @@
     }
 
     fn record_leaving(&self, id: &str, started_at_ms: u64) {
-        let is_present = self.mark_leaving(id, Some(started_at_ms));
+        let is_present = self.mark_leaving(&ServerDeparture { id: id.to_string(), started_at_ms });
         info!(
             server = id,
             started_at_ms, is_present, "drain: the backend server says it is leaving"
--- a/crates/datapath/tests/announcements.rs
+++ b/crates/datapath/tests/announcements.rs
@@ -8,6 +8,7 @@
 use tarragon_kernel::Kernel;
 use tarragon_kernel::Service;
 use tarragon_model::api::Announcement;
+use tarragon_model::api::ServerDeparture;
 use tarragon_model::api::ServerIdentity;
 use tarragon_model::member::BackendState;
 use tokio_util::sync::CancellationToken;
@@ -24,6 +25,10 @@
     }
 }
 
+fn departure(id: &str, started_at_ms: u64) -> ServerDeparture {
+    ServerDeparture { id: id.into(), started_at_ms }
+}
+
 /// Announces every 500 ms for the given time, as a running backend server does.
 async fn announce_repeatedly(announcements: &AnnouncementTracker, duration_ms: u64) {
     for _ in 0..duration_ms / 500 {
@@ -107,14 +112,14 @@
     with_announcements(|announcements| async move {
         announcements.announce(identified_announcement(1_000, 7, false));
         assert!(!announcements.current_status().is_leaving);
-        assert!(announcements.mark_leaving("server-1000", Some(1_000)));
+        assert!(announcements.mark_leaving(&departure("server-1000", 1_000)));
         assert_eq!(announcements.current_status().state, BackendState::Draining);
         assert!(announcements.current_status().is_leaving);
         assert!(!announcements.announce(identified_announcement(1_000, 8, false)));
         assert_eq!(announcements.current_status().state, BackendState::Draining);
         assert!(announcements.announce(identified_announcement(2_000, 0, false)));
         assert_eq!(announcements.current_status().state, BackendState::Ready);
-        assert!(!announcements.mark_leaving("server-1000", Some(1_000)));
+        assert!(!announcements.mark_leaving(&departure("server-1000", 1_000)));
         assert_eq!(announcements.current_status().state, BackendState::Ready);
     })
     .await;
@@ -131,7 +136,7 @@
         announcements.announce(Announcement { cold_start_ms: 0, server, ..announcement() })
     };
     let restarted = AnnouncementTracker::default();
-    assert!(!restarted.mark_leaving("i-7", Some(5_000)), "the process is not known yet");
+    assert!(!restarted.mark_leaving(&departure("i-7", 5_000)), "the process is not known yet");
     assert!(!announce(&restarted, 5_000, 9), "a late announcement of the departed process");
     assert_eq!(restarted.current_status().state, BackendState::Absent);
     assert!(announce(&restarted, 6_000, 1), "its successor with the same id");
@@ -140,8 +145,11 @@
     // The same for a successor whose announcements were all delayed.
     let announcements = AnnouncementTracker::default();
     assert!(announce(&announcements, 5_000, 9));
-    assert!(!announcements.mark_leaving("i-7", Some(6_000)));
+    assert!(!announcements.mark_leaving(&departure("i-7", 6_000)));
     assert!(!announce(&announcements, 6_000, 1), "a late announcement of the departed successor");
-    assert!(!announcements.mark_leaving("i-7", Some(4_000)), "a late departure of a predecessor");
+    assert!(
+        !announcements.mark_leaving(&departure("i-7", 4_000)),
+        "a late departure of a predecessor"
+    );
     assert!(announce(&announcements, 7_000, 1));
 }
--- a/crates/model/src/api/announcement.rs
+++ b/crates/model/src/api/announcement.rs
@@ -58,7 +58,7 @@
 }
 
 /// Whether a text can be sent in a header as the name of a service or the id of a server.
-fn is_name(text: &str) -> bool {
+pub(super) fn is_name(text: &str) -> bool {
     (1..=MAX_NAME_BYTES).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_graphic())
 }
 
@@ -67,8 +67,8 @@
     started_at_ms <= unix_ms(now).saturating_add(MAX_CLOCK_DIFFERENCE_MS)
 }
 
-/// Time in ms since 1970; 0 if the clock of the host is set to an earlier time.
-fn unix_ms(time: SystemTime) -> u64 {
+/// A time in ms since 1970; 0 if the clock of the host is set to an earlier time.
+pub fn unix_ms(time: SystemTime) -> u64 {
     let since_1970 = time.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since_1970.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/model/src/api/mod.rs
+++ b/crates/model/src/api/mod.rs
@@ -1,13 +1,16 @@
 //! Types of the control API, shared by the daemon and the operators' client.
 
 mod announcement;
+mod departure;
 mod drain;
 mod replica;
 mod status;
 
 pub use announcement::is_start_time;
+pub use announcement::unix_ms;
 pub use announcement::Announcement;
 pub use announcement::ServerIdentity;
+pub use departure::ServerDeparture;
 pub use drain::DrainAnswer;
 pub use drain::DrainRequest;
 pub use replica::InitRequest;
--- a/crates/node/src/app/mod.rs
+++ b/crates/node/src/app/mod.rs
@@ -17,4 +17,5 @@
 pub use platform_adapter::PlatformAdapter;
 pub use platform_adapter::ANNOUNCEMENTS;
 pub use platform_adapter::CONTROL_LOG;
+pub use platform_adapter::DEPARTURES;
 pub use platform_adapter::NODE_STATE;
--- a/crates/node/src/app/node.rs
+++ b/crates/node/src/app/node.rs
@@ -19,6 +19,10 @@
 use tarragon_control::control::ControlResponse;
 use tarragon_control::control::OperatorKey;
 use tarragon_control::control::RemoteLog;
+use tarragon_control::departures::ControlHolderClient;
+use tarragon_control::departures::DepartureService;
+use tarragon_control::departures::DepartureServiceDependencies;
+use tarragon_control::departures::HeldDepartures;
 use tarragon_control::members::MembershipService;
 use tarragon_control::members::MembershipServiceDependencies;
 use tarragon_control::replica::LogFormation;
@@ -56,6 +60,7 @@
 use crate::app::platform_adapter::PlatformAdapter;
 use crate::app::platform_adapter::ANNOUNCEMENTS;
 use crate::app::platform_adapter::CONTROL_LOG;
+use crate::app::platform_adapter::DEPARTURES;
 use crate::app::platform_adapter::NODE_STATE;
 use crate::app::policies::build_policies;
 use crate::app::prometheus::MetricsListener;
@@ -112,6 +117,7 @@
 struct Node {
     settings: NodeSettings,
     announcements: Arc<AnnouncementTracker>,
+    departures: Arc<DepartureService>,
     membership: Arc<MembershipService>,
     catalogue: watch::Receiver<Arc<Catalogue>>,
     highest_known_revision: watch::Receiver<u64>,
@@ -190,6 +196,14 @@
         });
         let log: Arc<dyn ControlLog> =
             Arc::new(RemoteLog::new(addresses.clone(), deployment_key.clone()));
+        let departures = Arc::new(DepartureService::new(DepartureServiceDependencies {
+            node_name: settings.node_name.clone(),
+            data_centre: settings.data_centre.clone(),
+            is_alone: settings.seeds.is_empty(),
+            directory: Arc::clone(&directory),
+            announcements: Arc::clone(&announcements),
+            client: Arc::new(ControlHolderClient::new(deployment_key.clone())),
+        }));
         let gate = Arc::new(DeferredGateView::default());
         let context = ApiContext {
             node_name: settings.node_name.clone(),
@@ -201,6 +215,8 @@
             local_log,
             directory: Arc::clone(&directory),
             announcements: Arc::clone(&announcements),
+            departures: Arc::clone(&departures),
+            held_departures: HeldDepartures::default(),
             gate: Arc::clone(&gate) as _,
             deployment_key: deployment_key.clone(),
             operator_key,
@@ -213,6 +229,7 @@
         let mut control_services: Vec<Arc<dyn Service>> = vec![
             Arc::clone(&announcements) as _,
             Arc::clone(&membership) as _,
+            Arc::clone(&departures) as _,
             Arc::new(follower),
             Arc::new(api),
         ];
@@ -251,6 +268,7 @@
         Ok(Self {
             settings,
             announcements,
+            departures,
             membership,
             catalogue,
             highest_known_revision,
@@ -269,6 +287,7 @@
         let kernel = Arc::new(Kernel::new());
         let control_stop = CancellationToken::new();
         kernel.provide::<AnnouncementTracker>(ANNOUNCEMENTS, Arc::clone(&self.announcements));
+        kernel.provide::<DepartureService>(DEPARTURES, Arc::clone(&self.departures));
         kernel.provide::<dyn ControlLog>(CONTROL_LOG, Arc::clone(&self.log));
         kernel.provide::<NodeState>(NODE_STATE, Arc::new(self.node_state()));
         let services = [self.control_services.clone(), self.adapter_services.clone()].concat();
--- a/crates/node/src/app/platform_adapter.rs
+++ b/crates/node/src/app/platform_adapter.rs
@@ -9,6 +9,9 @@
 use tarragon_model::catalogue::Catalogue;
 use tokio::sync::watch;
 
+/// Name under which the kernel provides the `DepartureService`.
+pub const DEPARTURES: &str = "backend.departures";
+
 /// Name under which the kernel provides the `AnnouncementTracker` of the local backend server.
 pub const ANNOUNCEMENTS: &str = "backend.announcements";
 
