--- a/crates/tarragond/tests/processes/main.rs
+++ b/crates/tarragond/tests/processes/main.rs
@@ -4,6 +4,7 @@
 // The lint permits unwrapping only in test functions, and not in their helpers.
 #![allow(clippy::unwrap_used, reason = "helpers of tests may panic like the tests themselves")]
 
+mod endless_bytes;
 mod idempotency_keys;
 mod leader_loss;
 mod lost_disk;
