Recognise a crashing request although its body arrives slowly

Cause: the fingerprint held the first 16 KiB of the body as far as they arrive without a pause of 100 ms, so it differed each time.

Change: without its first bytes a request is told apart by all but its body; where a server has crashed under such a request, the next ones are waited for 1 s a piece. A server that accepts the probe while it ends is probed again, since its crash was not counted otherwise.

--- a/crates/datapath/src/entry/caller_handler.rs
+++ b/crates/datapath/src/entry/caller_handler.rs
@@ -146,9 +146,17 @@
         let revision = inbound.revision;
         let request = (parts, body);
         let max_replay_bytes = settings.max_replay_bytes;
-        let call =
-            OutgoingCall::read(request, inbound, context, deadline, span.id, max_replay_bytes)
-                .await;
+        let crashes = &self.forwarder.dependencies.crashes;
+        let call = OutgoingCall::read(
+            request,
+            inbound,
+            context,
+            deadline,
+            span.id,
+            max_replay_bytes,
+            crashes,
+        )
+        .await;
         let mut call = call.map_err(|failure| failure_before_owner(failure, is_keyed))?;
         call.may_be_server_call = may_be_server_call;
         let result = self.forwarder.forward(&call).await;
--- a/crates/datapath/src/entry/exit_handler.rs
+++ b/crates/datapath/src/entry/exit_handler.rs
@@ -97,9 +97,17 @@
             .expect("an unlinked call has an entry span, any other the span of its parent");
         let request = (parts, body);
         let max_replay_bytes = settings.max_replay_bytes;
-        let mut call =
-            OutgoingCall::read(request, inbound, context, deadline, ledger_span, max_replay_bytes)
-                .await?;
+        let crashes = &forwarder.dependencies.crashes;
+        let mut call = OutgoingCall::read(
+            request,
+            inbound,
+            context,
+            deadline,
+            ledger_span,
+            max_replay_bytes,
+            crashes,
+        )
+        .await?;
         call.may_be_server_call = true;
         forwarder.forward(&call).await
     }
--- a/crates/datapath/src/entry/outgoing_call.rs
+++ b/crates/datapath/src/entry/outgoing_call.rs
@@ -7,6 +7,7 @@
 use http::request::Parts;
 use http::HeaderValue;
 use http::Request;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use tarragon_model::call::CallContext;
 use tarragon_model::call::Reason;
@@ -17,9 +18,12 @@
 use crate::gate::AttemptKey;
 use crate::gate::GateCall;
 use crate::interface::InboundRequest;
+use crate::quarantine::SharedLedger;
 use crate::transport::streamed;
 use crate::transport::CallFailure;
 use crate::transport::ReplayBody;
+use crate::transport::PREFIX_TIMEOUT;
+use crate::transport::SUSPECT_PREFIX_TIMEOUT;
 
 /// A request that is forwarded to a gate.
 pub(crate) struct OutgoingCall {
@@ -50,7 +54,8 @@
 
 impl OutgoingCall {
     /// Creates a call from a request that a listener has read, and buffers its body for retries if
-    /// it is small.
+    /// it is small. Of a larger one the first bytes are read, by which the request is told apart; if
+    /// servers have crashed under requests like it, the call waits longer for them.
     ///
     /// # Errors
     /// `Late` if a body to buffer is not complete by the deadline, `BadRequest` if it ends early.
@@ -61,11 +66,21 @@
         deadline: Instant,
         ledger_span: SpanId,
         max_replay_bytes: u64,
+        crashes: &SharedLedger,
     ) -> Result<Self, CallFailure> {
-        let body = ReplayBody::read(streamed(body), max_replay_bytes);
+        let without_body = fingerprint_without_body(&head, &body, &inbound);
+        let prefix_timeout = match crashes.has_crashed(without_body) {
+            true => SUSPECT_PREFIX_TIMEOUT,
+            false => PREFIX_TIMEOUT,
+        };
+        let body = ReplayBody::read(streamed(body), max_replay_bytes, prefix_timeout);
         let body = tokio::time::timeout_at(deadline.into(), body).await;
         let body = body.map_err(|_| Reason::Late)?.map_err(|_| Reason::BadRequest)?;
-        let fingerprint = fingerprint(&head, &body, &inbound);
+        // Bytes that arrived in time differ each time that a request comes over a slow line.
+        let fingerprint = match body.prefix() {
+            Some(prefix) => fingerprint(&head, prefix, &inbound),
+            None => without_body,
+        };
         Ok(Self {
             duration_kind: duration_kind(&inbound),
             fingerprint,
@@ -114,15 +129,26 @@
 
 /// Fingerprint of a request. A body counts with its first bytes, so that it does not matter whether it
 /// comes with a length or in chunks.
-fn fingerprint(head: &Parts, body: &ReplayBody, inbound: &InboundRequest) -> RequestFingerprint {
+fn fingerprint(head: &Parts, prefix: &[u8], inbound: &InboundRequest) -> RequestFingerprint {
+    let [method, host, path, caller] = head_parts(head, inbound);
+    RequestFingerprint::of(&[method, host, path, caller, prefix])
+}
+
+/// Fingerprint of all requests like this one whose first bytes do not arrive in time.
+fn fingerprint_without_body(
+    head: &Parts,
+    body: &Incoming,
+    inbound: &InboundRequest,
+) -> RequestFingerprint {
+    let [method, host, path, caller] = head_parts(head, inbound);
+    let length = body.size_hint().exact().map_or([0xff; 8], u64::to_be_bytes);
+    RequestFingerprint::of(&[method, host, path, caller, b"without body", &length])
+}
+
+/// What tells requests apart beside their bodies.
+fn head_parts<'a>(head: &'a Parts, inbound: &'a InboundRequest) -> [&'a [u8]; 4] {
     let host = head.headers.get(HOST).map_or(&[][..], HeaderValue::as_bytes);
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let caller = inbound.calling_service.as_bytes();
-    RequestFingerprint::of(&[
-        head.method.as_str().as_bytes(),
-        host,
-        path.as_bytes(),
-        caller,
-        body.prefix(),
-    ])
+    [head.method.as_str().as_bytes(), host, path.as_bytes(), caller]
 }
--- a/crates/datapath/src/gate/crash_detector.rs
+++ b/crates/datapath/src/gate/crash_detector.rs
@@ -10,6 +10,7 @@
 use tarragon_model::call::Reason;
 use tarragon_policy::quarantine::RequestFingerprint;
 use tarragon_policy::quarantine::Suspicion;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio_util::task::TaskTracker;
 
@@ -20,6 +21,14 @@
 /// does neither may only be busy.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time for which a connection that was accepted must stay open to show that the server runs. The
+/// operating system closes those of a process that ends one after the other, and accepts new ones until it
+/// comes to the listener.
+const PROBE_HOLD: Duration = Duration::from_millis(30);
+
+/// Maximum number of probes of a server that accepts connections and closes them at once.
+const MAX_PROBES: usize = 4;
+
 /// Time in which requests that lose their connections belong to the same crash. A server takes
 /// longer to start.
 const CRASH_WINDOW: Duration = Duration::from_millis(500);
@@ -86,10 +95,7 @@
         if last_crash.is_some_and(|at| at.elapsed() < CRASH_WINDOW) {
             return;
         }
-        let connecting = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
-        let is_refused =
-            matches!(connecting, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused);
-        if is_refused {
+        if has_ended(address).await {
             *last_crash = Some(Instant::now());
             let running: Vec<_> = self.lock().fingerprints.values().copied().collect();
             self.ledger.record_crash(&running);
@@ -97,6 +103,24 @@
     }
 }
 
+/// Whether nothing listens at the address any more.
+async fn has_ended(address: SocketAddr) -> bool {
+    for _ in 0..MAX_PROBES {
+        match tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Err(e)) => return e.kind() == ErrorKind::ConnectionRefused,
+            Err(_) => return false,
+            Ok(Ok(mut stream)) => {
+                let closing = tokio::time::timeout(PROBE_HOLD, stream.read(&mut [0])).await;
+                let is_closed = matches!(closing, Ok(Ok(0) | Err(_)));
+                if !is_closed {
+                    return false;
+                }
+            }
+        }
+    }
+    false
+}
+
 /// A request that the backend server runs, until its response is complete.
 pub(crate) struct CrashDetectorRun {
     detector: Arc<CrashDetector>,
@@ -130,3 +154,6 @@
         self.detector.lock().fingerprints.remove(&self.run);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/datapath/src/gate/keyed_run.rs
+++ b/crates/datapath/src/gate/keyed_run.rs
@@ -34,6 +34,7 @@
 use crate::transport::BoxError;
 use crate::transport::CallFailure;
 use crate::transport::ReplayBody;
+use crate::transport::PREFIX_TIMEOUT;
 
 /// Maximum number of response frames that are buffered on their way to the caller.
 const MAX_FRAMES_IN_TRANSIT: usize = 4;
@@ -56,7 +57,7 @@
         // A small body is read before the run, so that the key stays unused if the caller
         // disconnects while sending it.
         let body = std::mem::take(call.request.body_mut());
-        let body = ReplayBody::read(body, self.settings.max_replay_bytes).await;
+        let body = ReplayBody::read(body, self.settings.max_replay_bytes, PREFIX_TIMEOUT).await;
         *call.request.body_mut() = body.map_err(|_| Reason::BadRequest)?.attempt_body();
         let caller = self.keys.caller_digest(call.request.headers());
         let path = call.request.uri().path_and_query().map_or("/", |path| path.as_str());
--- a/crates/datapath/src/quarantine/shared_ledger.rs
+++ b/crates/datapath/src/quarantine/shared_ledger.rs
@@ -49,6 +49,11 @@
         self.lock().suspicion(fingerprint)
     }
 
+    /// Whether a server has crashed while it ran the request, and no answer has cleared it since.
+    pub(crate) fn has_crashed(&self, fingerprint: RequestFingerprint) -> bool {
+        self.lock().record(fingerprint).is_some_and(|record| record.crash_count() > 0)
+    }
+
     /// Adds to the headers of a message to another node what is new, and what is known of the request
     /// of the message.
     pub(crate) fn write_news(&self, map: &mut HeaderMap, about: Option<RequestFingerprint>) {
--- a/crates/datapath/src/transport/mod.rs
+++ b/crates/datapath/src/transport/mod.rs
@@ -30,4 +30,6 @@
 pub(crate) use log_rate_limiter::LogRateLimiter;
 pub use rate_limited_warning::RateLimitedWarning;
 pub use replay_body::ReplayBody;
+pub use replay_body::PREFIX_TIMEOUT;
+pub use replay_body::SUSPECT_PREFIX_TIMEOUT;
 pub(crate) use write_timeout_io::WriteTimeoutIo;
--- a/crates/datapath/src/transport/replay_body.rs
+++ b/crates/datapath/src/transport/replay_body.rs
@@ -21,9 +21,13 @@
 /// Number of bytes at the start of a body by which requests are told apart.
 const PREFIX_BYTES: usize = 16 * 1024;
 
-/// Time to wait for each piece of the prefix. A caller that sends more slowly is not kept waiting: its
-/// request is told apart by the bytes that have arrived.
-const PREFIX_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time to wait for each piece of the prefix. A caller that sends more slowly is not kept waiting, since
+/// it may wait itself until the server has the first bytes.
+pub const PREFIX_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Time to wait for each piece of the prefix of a request that may be one under which servers have
+/// crashed, so that it is told apart from others like it.
+pub const SUSPECT_PREFIX_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Request body that can be sent several times, as far as possible.
 ///
@@ -33,17 +37,23 @@
 pub enum ReplayBody {
     /// The complete body.
     Buffered(Bytes),
-    /// The body, which is taken out by the first attempt that reads from it, and its first bytes.
-    Streamed(Arc<Mutex<Option<Body>>>, SizeHint, Bytes),
+    /// The body, which is taken out by the first attempt that reads from it, and its first bytes;
+    /// `None` if they did not arrive in time.
+    Streamed(Arc<Mutex<Option<Body>>>, SizeHint, Option<Bytes>),
 }
 
 impl ReplayBody {
     /// Wraps a body, and buffers it if its announced length is at most `max_buffered_bytes`, or if it
-    /// has no announced length and arrives at once with less than `PREFIX_BYTES`.
+    /// has no announced length and arrives at once with less than `PREFIX_BYTES`. Waits at most
+    /// `prefix_timeout` for each piece of the first bytes.
     ///
     /// # Errors
     /// Returns the error of the connection if the body ends early.
-    pub async fn read(body: Body, max_buffered_bytes: u64) -> Result<Self, BoxError> {
+    pub async fn read(
+        body: Body,
+        max_buffered_bytes: u64,
+        prefix_timeout: Duration,
+    ) -> Result<Self, BoxError> {
         if body.is_end_stream() {
             return Ok(Self::Buffered(Bytes::new()));
         }
@@ -51,19 +61,22 @@
         if hint.exact().is_some_and(|length| length <= max_buffered_bytes) {
             return Ok(Self::Buffered(body.collect().await?.to_bytes()));
         }
-        let (body, prefix) = PrefixedBody::read(body).await?;
+        let (body, prefix) = PrefixedBody::read(body, prefix_timeout).await?;
+        let is_prefix_whole = body.rest.is_none() || prefix.len() >= PREFIX_BYTES;
         let is_whole = body.rest.is_none() && body.frames.iter().all(Frame::is_data);
         if is_whole && prefix.len() < PREFIX_BYTES {
             return Ok(Self::Buffered(prefix));
         }
-        Ok(Self::Streamed(Arc::new(Mutex::new(Some(body.boxed_unsync()))), hint, prefix))
+        let shared = Arc::new(Mutex::new(Some(body.boxed_unsync())));
+        Ok(Self::Streamed(shared, hint, is_prefix_whole.then_some(prefix)))
     }
 
-    /// The first bytes of the body, the same ones in whichever pieces it arrives.
-    pub fn prefix(&self) -> &[u8] {
+    /// The first bytes of the body, the same ones in whichever pieces it arrives; `None` if not all of
+    /// them arrived in time, since those that did differ each time.
+    pub fn prefix(&self) -> Option<&[u8]> {
         match self {
-            Self::Buffered(bytes) => &bytes[..bytes.len().min(PREFIX_BYTES)],
-            Self::Streamed(_, _, prefix) => prefix,
+            Self::Buffered(bytes) => Some(&bytes[..bytes.len().min(PREFIX_BYTES)]),
+            Self::Streamed(_, _, prefix) => prefix.as_deref(),
         }
     }
 
@@ -135,10 +148,10 @@
 impl PrefixedBody {
     /// Reads frames until they hold the first `PREFIX_BYTES`, the body ends or nothing more arrives in
     /// time, and returns these bytes as well.
-    async fn read(mut body: Body) -> Result<(Self, Bytes), BoxError> {
+    async fn read(mut body: Body, prefix_timeout: Duration) -> Result<(Self, Bytes), BoxError> {
         let (mut frames, mut prefix) = (VecDeque::new(), BytesMut::new());
         while prefix.len() < PREFIX_BYTES {
-            let Ok(frame) = tokio::time::timeout(PREFIX_TIMEOUT, body.frame()).await else { break };
+            let Ok(frame) = tokio::time::timeout(prefix_timeout, body.frame()).await else { break };
             let Some(frame) = frame else {
                 return Ok((Self { frames, rest: None }, prefix.freeze()));
             };
--- a/crates/datapath/tests/datapath/crashes.rs
+++ b/crates/datapath/tests/datapath/crashes.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use futures_util::stream;
+use futures_util::StreamExt;
 use http::Request;
 use http::StatusCode;
 use http_body_util::BodyExt;
@@ -14,6 +15,7 @@
 use tarragon_datapath::transport::BoxError;
 
 use crate::routed::configured_cluster;
+use crate::routed::configured_cluster_with;
 use crate::routed::send;
 use crate::routed::wait_until_routed;
 use crate::support::Cluster;
@@ -41,7 +43,7 @@
 
 impl Fleet {
     async fn start() -> Self {
-        let cluster = configured_cluster();
+        let cluster = configured_cluster_with(UPLOAD_BYTES as u64);
         let (mut backends, mut servers, mut entries) = (vec![], vec![], vec![]);
         for name in ["server-1", "server-2", "server-3", "server-4"] {
             let backend = CrashingBackend::start().await;
@@ -219,3 +221,54 @@
     }
     assert_eq!(fleet.crashes(), before);
 }
+
+/// Length of an upload that is too large to be kept for retries.
+const UPLOAD_BYTES: usize = 90_000;
+
+/// Sends a large body over a slow line, which pauses after the first bytes and further on.
+async fn send_over_slow_line(node: &Node, path: &str, first_bytes: usize) -> StatusCode {
+    let bytes = Bytes::from(vec![7; UPLOAD_BYTES]);
+    let (first, rest) = (bytes.slice(..first_bytes), bytes.slice(first_bytes..));
+    let (middle, last) = (rest.slice(..20_000), rest.slice(20_000..));
+    let pieces = stream::iter([first, middle, last]).enumerate().then(|(at, piece)| async move {
+        if at > 0 {
+            tokio::time::sleep(LINE_PAUSE).await;
+        }
+        Ok::<_, BoxError>(Frame::data(piece))
+    });
+    let body: Body = StreamBody::new(pieces).boxed_unsync();
+    let request = Request::post(path).header("host", "counter.test");
+    let request = request.header("content-length", UPLOAD_BYTES);
+    let request = request.header("x-host", "orchard.example").header("x-id", "7");
+    let response = crate::support::send(node.caller, request.body(body).unwrap()).await;
+    response.map_or(StatusCode::BAD_GATEWAY, |response| response.status())
+}
+
+/// Pause of a slow line.
+const LINE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Guards against counting a request apart each time that it comes over a slow line (case 5 of the
+/// review), in which the first piece of its body ends elsewhere.
+#[tokio::test]
+async fn a_request_over_a_slow_line_that_crashed_three_servers_reaches_few_more() {
+    let fleet = Fleet::start().await;
+    let mut first_bytes = (2_000..).step_by(700);
+    let mut send = async |entry: &Node| {
+        send_over_slow_line(entry, "/one/crash", first_bytes.next().unwrap()).await;
+        tokio::time::sleep(RESTART_TIME).await;
+    };
+    for entry in fleet.entries.iter().cycle().take(10 * CRASHES) {
+        send(entry).await;
+        if fleet.crashes() >= CRASHES {
+            break;
+        }
+    }
+    assert!(fleet.crashes() >= CRASHES);
+    tokio::time::sleep(SPREAD_TIME).await;
+    let before = fleet.crashes();
+    for entry in fleet.entries.iter().cycle().take(3 * CRASHES) {
+        send(entry).await;
+    }
+    let later = fleet.crashes() - before;
+    assert!(later <= MAX_LATER_SENDINGS, "{later} more servers crashed");
+}
--- a/crates/datapath/tests/datapath/routed.rs
+++ b/crates/datapath/tests/datapath/routed.rs
@@ -47,6 +47,11 @@
 
 /// Cluster with a configuration that has several routes to the service `counter`.
 pub fn configured_cluster() -> Cluster {
+    configured_cluster_with(1_000)
+}
+
+/// The same cluster with another maximum size of request bodies, in bytes.
+pub fn configured_cluster_with(max_body_bytes: u64) -> Cluster {
     let routes = vec![
         route("/one/", RepeatRule::Idempotent, 1, 20_000),
         route("/two/", RepeatRule::Idempotent, 2, 20_000),
@@ -57,7 +62,7 @@
     let services = vec![ServiceLimits { name: "counter".into(), max_connections: 10 }];
     let limits = CallerLimits {
         max_header_bytes: 16_384,
-        max_body_bytes: 1_000,
+        max_body_bytes,
         header_timeout_ms: 3_000,
         idle_timeout_ms: 15_000,
     };
