Tell nodes of crashes although there are no calls between them

Cause: nodes told each other with calls and on connections of calls, and calls stay in a data centre that has room, so each counted to three alone.

--- a/crates/datapath/src/datapath/data_path.rs
+++ b/crates/datapath/src/datapath/data_path.rs
@@ -39,6 +39,7 @@
 use crate::peer::PeerPool;
 use crate::peer::PeerPoolDependencies;
 use crate::peer::PeerServer;
+use crate::quarantine::CrashSpreader;
 use crate::quarantine::SharedLedger;
 use crate::transport::Http1Limits;
 use crate::transport::Http1Listener;
@@ -105,6 +106,7 @@
     peer: Arc<PeerServer>,
     gate_service: Arc<GateService>,
     candidate_updater: Arc<CandidateUpdater>,
+    crash_spreader: Arc<CrashSpreader>,
     gate_handle: GateHandle,
     peers: Arc<PeerPool>,
 }
@@ -191,6 +193,13 @@
         let address = settings.peer_address;
         let peer = PeerServer::bind(Arc::clone(&gate), instance, auth, listeners.token()).await;
         let peer = peer.change_context(BindError { setting: "peer_address", address })?;
+        let crash_spreader = CrashSpreader::new(
+            instance,
+            settings.data_centre.clone(),
+            directory.members(),
+            Arc::clone(&gate.crashes),
+            Arc::clone(&peers),
+        );
         let candidate_updater = CandidateUpdater::new(
             settings,
             clock,
@@ -206,6 +215,7 @@
             peer: Arc::new(peer),
             gate_service: Arc::new(GateService::new(Arc::clone(&gate), listeners)),
             candidate_updater: Arc::new(candidate_updater),
+            crash_spreader: Arc::new(crash_spreader),
             gate_handle: GateHandle::new(gate),
             peers,
         })
@@ -241,6 +251,7 @@
         vec![
             Arc::clone(&self.gate_service) as Arc<dyn Service>,
             Arc::clone(&self.candidate_updater) as Arc<dyn Service>,
+            Arc::clone(&self.crash_spreader) as Arc<dyn Service>,
             Arc::clone(&self.peer) as Arc<dyn Service>,
             Arc::clone(&self.exit) as Arc<dyn Service>,
             Arc::clone(&self.caller) as Arc<dyn Service>,
--- a/crates/datapath/src/peer/peer_connection.rs
+++ b/crates/datapath/src/peer/peer_connection.rs
@@ -138,14 +138,28 @@
         &self,
         peer: &Peer,
         shared: &PeerShared,
+    ) -> Result<AdmissionAdvice, String> {
+        // What the peer may have missed before it is connected.
+        self.heartbeat_telling(peer, shared, self.last_response_us() == 0).await
+    }
+
+    /// Does the same as [`Self::heartbeat`]. With `tells_suspects` both nodes tell each other all
+    /// requests under which several servers have crashed, otherwise only what is new.
+    ///
+    /// # Errors
+    /// As for [`Self::heartbeat`].
+    pub(crate) async fn heartbeat_telling(
+        &self,
+        peer: &Peer,
+        shared: &PeerShared,
+        tells_suspects: bool,
     ) -> Result<AdmissionAdvice, String> {
         let (auth, crashes) = (&shared.auth, &shared.crashes);
         let mut request = self.request(Method::GET, HEARTBEAT_PATH, empty());
         if let Some(notice) = shared.notices.find(&peer.node) {
             request.headers_mut().insert(headers::NOTICE, header_value(&notice.to_string()));
         }
-        let is_first = self.last_response_us() == 0;
-        if is_first {
+        if tells_suspects {
             crashes.write_suspects(request.headers_mut());
         } else {
             crashes.write_news(request.headers_mut(), None);
--- a/crates/datapath/src/peer/peer_pool.rs
+++ b/crates/datapath/src/peer/peer_pool.rs
@@ -20,6 +20,7 @@
 use tarragon_policy::routing::RoutePolicy;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use tracing::debug;
 
 use crate::datapath::Clock;
 use crate::datapath::DataPathSettings;
@@ -419,6 +420,24 @@
         }
     }
 
+    /// Exchanges with a peer what both know about crashes. With `tells_suspects` they tell each other
+    /// all suspected requests, otherwise only what is new.
+    pub(crate) async fn exchange_crashes(&self, target: InstanceId, tells_suspects: bool) {
+        let Some(peer) = self.find(target) else { return };
+        let limit = Duration::from_millis(self.shared.settings.suspect_after_ms);
+        let exchange = async {
+            let deadline = Instant::now() + limit;
+            let connection = peer.short_connection.acquire(&peer, &self.shared, deadline).await;
+            let connection = connection.ok_or("there is no connection")?;
+            connection.heartbeat_telling(&peer, &self.shared, tells_suspects).await
+        };
+        match tokio::time::timeout(limit, exchange).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(e)) => debug!("gate: {target} was told nothing about crashes: {e}"),
+            Err(_) => debug!("gate: {target} did not respond about crashes in time"),
+        }
+    }
+
     /// Closes all connections and waits until their tasks have ended. Calls in flight fail, so all
     /// calls must have ended before.
     pub async fn close(&self) {
--- a/crates/datapath/src/quarantine/shared_ledger.rs
+++ b/crates/datapath/src/quarantine/shared_ledger.rs
@@ -9,6 +9,7 @@
 use tarragon_policy::quarantine::RequestFingerprint;
 use tarragon_policy::quarantine::Suspicion;
 use tarragon_policy::quarantine::ToldRecord;
+use tokio::sync::Notify;
 use tracing::debug;
 use tracing::info;
 
@@ -25,10 +26,23 @@
 /// sent after one, in lines per second each.
 const MAX_CRASH_LOG_LINES_PER_S: u32 = 10;
 
+/// What a node has to tell others about crashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SpreadState {
+    /// There is nothing that others must know.
+    Nothing,
+    /// Nothing has changed lately, but nodes that were cut off may not know the suspects.
+    Suspects,
+    /// There are changes that have been told a few times only.
+    Changes,
+}
+
 /// Ledger of crashes that the entry, the gate and the peer connections of a node share.
 pub(crate) struct SharedLedger {
     ledger: Mutex<CrashLedger>,
     clock: Clock,
+    /// Notified when there are changes to tell others.
+    changed: Notify,
     crash_log: LogRateLimiter,
     sending_log: LogRateLimiter,
 }
@@ -37,7 +51,8 @@
     pub(crate) fn new(clock: Clock) -> Self {
         let ledger = Mutex::new(CrashLedger::new(QuarantineSettings::default()));
         let limiter = || LogRateLimiter::new(clock, MAX_CRASH_LOG_LINES_PER_S);
-        Self { ledger, clock, crash_log: limiter(), sending_log: limiter() }
+        let changed = Notify::new();
+        Self { ledger, clock, changed, crash_log: limiter(), sending_log: limiter() }
     }
 
     fn lock(&self) -> MutexGuard<'_, CrashLedger> {
@@ -85,6 +100,28 @@
                 Err(()) => debug!("gate: ignoring a malformed crash record: {record}"),
             }
         }
+        self.notify_changes(&ledger);
+    }
+
+    fn notify_changes(&self, ledger: &CrashLedger) {
+        if ledger.has_changes() {
+            self.changed.notify_one();
+        }
+    }
+
+    /// What this node has to tell others that it may not call.
+    pub(crate) fn spread_state(&self) -> SpreadState {
+        let ledger = self.lock();
+        match (ledger.has_changes(), ledger.has_suspects()) {
+            (true, _) => SpreadState::Changes,
+            (false, true) => SpreadState::Suspects,
+            (false, false) => SpreadState::Nothing,
+        }
+    }
+
+    /// Waits for changes to tell others.
+    pub(crate) async fn wait_for_changes(&self) {
+        self.changed.notified().await;
     }
 
     /// Logs that a request under which servers have crashed is sent to the backend server. The age
@@ -119,7 +156,12 @@
     /// Records that the backend server crashed while it ran these requests.
     pub(crate) fn record_crash(&self, running: &[RequestFingerprint]) {
         let crash = rand::random();
-        let suspects = self.lock().record_crash(crash, running, self.clock.now_us());
+        let suspects = {
+            let mut ledger = self.lock();
+            let suspects = ledger.record_crash(crash, running, self.clock.now_us());
+            self.notify_changes(&ledger);
+            suspects
+        };
         if suspects.is_empty() {
             info!(crash, "gate: the backend server crashed and no request is charged");
         }
@@ -143,6 +185,7 @@
         let mut ledger = self.lock();
         if !ledger.is_empty() {
             ledger.record_answer(fingerprint, self.clock.now_us());
+            self.notify_changes(&ledger);
         }
     }
 }
--- a/crates/datapath/tests/datapath/crashes.rs
+++ b/crates/datapath/tests/datapath/crashes.rs
@@ -272,3 +272,32 @@
     let later = fleet.crashes() - before;
     assert!(later <= MAX_LATER_SENDINGS, "{later} more servers crashed");
 }
+
+/// Guards against data centres that count the crashes of a request apart, since no call leaves a data
+/// centre that has room (case 4 of the review).
+#[tokio::test]
+async fn a_request_that_crashed_three_servers_is_known_in_all_data_centres() {
+    let mut cluster = configured_cluster();
+    let (mut backends, mut nodes) = (vec![], vec![]);
+    for data_centre in ["hall-a", "hall-b", "annex"] {
+        cluster.settings.data_centre = data_centre.into();
+        let backend = CrashingBackend::start().await;
+        nodes.push(cluster.start_node(data_centre, Some(backend.address)).await);
+        backends.push(backend);
+    }
+    let crashes = || backends.iter().map(CrashingBackend::crashes).sum::<usize>();
+    for node in &nodes {
+        wait_until_routed(node).await;
+        send(node, "/one/crash").await;
+        tokio::time::sleep(RESTART_TIME).await;
+    }
+    assert!(backends.iter().all(|backend| backend.crashes() == 1), "a call left its data centre");
+    tokio::time::sleep(SPREAD_TIME).await;
+    for node in nodes.iter().cycle().take(3 * CRASHES) {
+        send(node, "/one/crash").await;
+        tokio::time::sleep(RESTART_TIME).await;
+    }
+    let later = crashes() - CRASHES;
+    assert!(later <= MAX_LATER_SENDINGS, "{later} more servers crashed");
+    assert_eq!(send(&nodes[0], "/one/7").await.status.as_u16(), 200);
+}
--- a/crates/datapath/tests/datapath/support/cluster.rs
+++ b/crates/datapath/tests/datapath/support/cluster.rs
@@ -265,7 +265,7 @@
         let record = MemberRecord {
             node: name.into(),
             instance,
-            data_centre: "hall-a".into(),
+            data_centre: self.settings.data_centre.clone(),
             region: "south".into(),
             gossip_address: peer,
             peer_address: relay.map_or(peer, |relay| relay(peer)),
--- a/crates/policy/src/quarantine/crash_ledger.rs
+++ b/crates/policy/src/quarantine/crash_ledger.rs
@@ -149,6 +149,16 @@
         }
     }
 
+    /// Whether there are changes that this node still tells others.
+    pub fn has_changes(&self) -> bool {
+        !self.changes.is_empty()
+    }
+
+    /// Whether several servers have crashed under some request.
+    pub fn has_suspects(&self) -> bool {
+        self.entries.values().any(|entry| entry.record.crash_count() > 1)
+    }
+
     /// Time since the record of a request changed, in ms.
     pub fn age_ms(&self, fingerprint: RequestFingerprint, now_us: u64) -> Option<u64> {
         let entry = self.entries.get(&fingerprint)?;
