Have a departure held by half of its holders

With two of up to eight, a process that starts had to wait for all but one of them, or 2 s, before it announced its server, which keeps servers away while several nodes restart. With half of them, half suffice then.

--- a/crates/control/src/departures/departure_service.rs
+++ b/crates/control/src/departures/departure_service.rs
@@ -29,6 +29,17 @@
 /// With two, the node and one of them may fail at the same time.
 const MIN_HOLDERS: usize = 2;
 
+/// Number of holders that must have a departure before it is acknowledged: half of them, which a data
+/// centre that is cut off has. The others may be down when the next process of the node asks.
+fn hold_quorum(holder_count: usize) -> usize {
+    holder_count.div_ceil(2).max(MIN_HOLDERS.min(holder_count)).max(1)
+}
+
+/// Number of holders that must answer a new process, so that one of them at least has each departure.
+fn find_quorum(holder_count: usize) -> usize {
+    (holder_count + 1).saturating_sub(hold_quorum(holder_count))
+}
+
 /// Time after which holders that have not responded are not waited for, if enough of them have.
 const SETTLE_TIME: Duration = Duration::from_millis(150);
 
@@ -96,16 +107,16 @@
             departure: departure.clone(),
         };
         while started.elapsed() < HOLD_TIMEOUT {
-            let round = self.ask_holders(&request, MIN_HOLDERS, SETTLE_TIME);
+            let holder_count = self.holders().len();
+            let needed = match self.is_recovered.load(Ordering::Relaxed) {
+                true => hold_quorum(holder_count),
+                false => hold_quorum(holder_count).max(MIN_HOLDERS),
+            };
+            let round = self.ask_holders(&request, needed, SETTLE_TIME);
             let left = HOLD_TIMEOUT.saturating_sub(started.elapsed());
             let responses = tokio::time::timeout(left, round).await.unwrap_or_default();
             let holds = |held: &&Vec<ServerDeparture>| held.iter().any(|h| h.covers(departure));
             let held_count = responses.iter().filter(holds).count();
-            let holder_count = self.holders().len();
-            let needed = match self.is_recovered.load(Ordering::Relaxed) {
-                true => MIN_HOLDERS.min(holder_count).max(1),
-                false => MIN_HOLDERS,
-            };
             if held_count >= needed {
                 self.confirm(departure);
                 return true;
@@ -123,8 +134,7 @@
     /// Asks the holders which departures earlier processes of this node have acknowledged, and then lets
     /// the announcements through.
     ///
-    /// Two holders at least have each departure, so all but one of them must respond. Members become
-    /// known one after the other, so they must be the same ones in two rounds.
+    /// Members become known one after the other, so the holders must be the same in two rounds.
     async fn recover(&self) {
         let started = Instant::now();
         let mut first_response = None;
@@ -140,7 +150,7 @@
             }
             found.extend(responses.into_iter().flatten());
             let is_settled = !holders.is_empty() && holders == previous_holders;
-            if is_settled && response_count + 1 >= holders.len().max(MIN_HOLDERS) {
+            if is_settled && response_count >= find_quorum(holders.len()) {
                 break true;
             }
             if first_response.is_some_and(|at: Instant| at.elapsed() >= FIND_TIMEOUT) {
