--- a/crates/datapath/tests/datapath/late_stop.rs
+++ b/crates/datapath/tests/datapath/late_stop.rs
@@ -71,6 +71,18 @@
     }
 }
 
+/// Starts a node with a backend server, which has answered a number of short calls.
+async fn start_node(known_calls: usize) -> (Cluster, Node, CallingBackend) {
+    let server = CallingBackend::start().await;
+    let cluster = Cluster::new();
+    let node = cluster.start_node("leaving", Some(server.backend.address)).await;
+    wait_until_answered(&node).await;
+    for _ in 0..known_calls {
+        assert_eq!(request(node.caller, "GET", "/", &[], "").await.outcome(), "answered");
+    }
+    (cluster, node, server)
+}
+
 fn stop_within(left: Duration) -> ServingState {
     ServingState::BackendCallsOnly { calls_end_at: Instant::now() + left }
 }
@@ -91,10 +103,7 @@
 /// of the review): a call of a kind that the node does not know may take any time.
 #[tokio::test]
 async fn a_stopping_node_refuses_calls_that_may_outlast_it() {
-    let server = CallingBackend::start().await;
-    let cluster = Cluster::new();
-    let node = cluster.start_node("leaving", Some(server.backend.address)).await;
-    wait_until_answered(&node).await;
+    let (cluster, node, server) = start_node(/* known_calls */ 0).await;
     during_run(&node, &server, async {
         cluster.serving.send_replace(stop_within(LEFT));
         for (method, path) in [("GET", "/"), ("PUT", "/photo"), ("POST", "/weigh/again")] {
@@ -111,13 +120,7 @@
 /// time, are answered.
 #[tokio::test]
 async fn a_stopping_node_serves_calls_that_end_in_time() {
-    let server = CallingBackend::start().await;
-    let cluster = Cluster::new();
-    let node = cluster.start_node("leaving", Some(server.backend.address)).await;
-    wait_until_answered(&node).await;
-    for _ in 0..KNOWN_CALLS {
-        assert_eq!(request(node.caller, "GET", "/", &[], "").await.outcome(), "answered");
-    }
+    let (cluster, node, server) = start_node(KNOWN_CALLS).await;
     during_run(&node, &server, async {
         cluster.serving.send_replace(stop_within(LEFT));
         let (reply, _) = server.call(&node, "GET", "/").await;
@@ -136,13 +139,7 @@
 /// Guards against calls to a server that has become slow, of a kind that used to be short.
 #[tokio::test]
 async fn a_stopping_node_refuses_calls_of_a_kind_that_became_slow() {
-    let server = CallingBackend::start().await;
-    let cluster = Cluster::new();
-    let node = cluster.start_node("leaving", Some(server.backend.address)).await;
-    wait_until_answered(&node).await;
-    for _ in 0..KNOWN_CALLS {
-        assert_eq!(request(node.caller, "GET", "/", &[], "").await.outcome(), "answered");
-    }
+    let (cluster, node, server) = start_node(KNOWN_CALLS).await;
     let slow = request(node.caller, "GET", "/slow", &[], "");
     let calls = during_run(&node, &server, async {
         tokio::time::sleep(LEFT).await;
