--- a/crates/consensus/src/raft/election.rs
+++ b/crates/consensus/src/raft/election.rs
@@ -10,7 +10,7 @@
 use crate::protocol::ReplicaId;
 use crate::raft::leader_state::FollowerProgress;
 use crate::raft::leader_state::LeaderState;
-use crate::raft::replica::GrantedVotes;
+use crate::raft::quorum::GrantedVotes;
 use crate::raft::replica::Replica;
 use crate::raft::replica::RoleState;
 use crate::raft::RequestOutcome;
--- a/crates/consensus/src/raft/quorum.rs
+++ b/crates/consensus/src/raft/quorum.rs
@@ -4,6 +4,7 @@
 //! and of those before. An even number of voters, one of which has certainly lost its disk, may
 //! decide by half of them. See `docs/design.md`, section 5.2.1.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use crate::protocol::ClusterConfiguration;
@@ -12,6 +13,9 @@
 use crate::raft::replica::Replica;
 use crate::raft::replica::RoleState;
 
+/// Voters that granted their votes, each with the lost members that it was told of before.
+pub(super) type GrantedVotes = BTreeMap<ReplicaId, BTreeSet<ReplicaId>>;
+
 impl Replica {
     /// The configurations in which a quorum is needed: the latest one and, until it is committed,
     /// the one before.
@@ -92,4 +96,32 @@
         let members = self.tracked_members();
         self.lost_members.retain(|id| members.contains(id));
     }
+
+    /// The member with this id, if any. With the injected fault `ignore_disk_ids`, a member with
+    /// the same name suffices.
+    pub(super) fn matching_member(&self, id: &ReplicaId) -> Option<ReplicaId> {
+        if self.configuration.has_member(id) {
+            return Some(id.clone());
+        }
+        if self.settings.injected_faults.ignore_disk_ids {
+            return self.configuration.members().find(|member| member.name == id.name).cloned();
+        }
+        None
+    }
+
+    /// The identity under which the votes and acknowledgements of a replica count. Those of one that
+    /// is no voter are not counted, see [`ClusterConfiguration::is_quorum`].
+    pub(super) fn counted_id(&self, id: &ReplicaId) -> ReplicaId {
+        self.matching_member(id).unwrap_or_else(|| id.clone())
+    }
+
+    /// Requests storage of the fact that the configuration is committed.
+    pub(super) fn store_committed_configuration(&mut self) {
+        let index = self.configuration_index;
+        if index > self.committed_configuration_index && index <= self.commit_index {
+            self.committed_configuration_index = index;
+            self.unsaved.is_hard_state_changed = true;
+            self.persist();
+        }
+    }
 }
--- a/crates/consensus/src/raft/replica.rs
+++ b/crates/consensus/src/raft/replica.rs
@@ -1,4 +1,3 @@
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -17,6 +16,7 @@
 use crate::raft::in_memory_log::InMemoryLog;
 use crate::raft::leader_state::LeaderState;
 use crate::raft::outbox::Outbox;
+use crate::raft::quorum::GrantedVotes;
 use crate::raft::snapshots::IncomingSnapshot;
 use crate::raft::PersistRequest;
 use crate::raft::RaftSettings;
@@ -53,9 +53,6 @@
     Leader(Box<LeaderState>),
 }
 
-/// Voters that granted their votes, each with the lost members that it was told of before.
-pub(super) type GrantedVotes = BTreeMap<ReplicaId, BTreeSet<ReplicaId>>;
-
 /// One replica of the log: a deterministic state machine without I/O. The caller provides the time
 /// and the random seed.
 ///
@@ -74,7 +71,7 @@
     /// with those of this log.
     pub(super) log_id: u64,
     /// Entry of the latest configuration that is known to be committed, as far as it was stored.
-    committed_configuration_index: u64,
+    pub(super) committed_configuration_index: u64,
     /// Members whose successors on the same host have reported the loss of the disk.
     pub(super) lost_members: BTreeSet<ReplicaId>,
     pub(super) log: InMemoryLog,
@@ -324,24 +321,6 @@
         term == self.term
     }
 
-    /// The member with this id, if any. With the injected fault `ignore_disk_ids`, a member with
-    /// the same name suffices.
-    pub(super) fn matching_member(&self, id: &ReplicaId) -> Option<ReplicaId> {
-        if self.configuration.has_member(id) {
-            return Some(id.clone());
-        }
-        if self.settings.injected_faults.ignore_disk_ids {
-            return self.configuration.members().find(|member| member.name == id.name).cloned();
-        }
-        None
-    }
-
-    /// The identity under which the votes and acknowledgements of a replica count. Those of one that
-    /// is no voter are not counted, see [`ClusterConfiguration::is_quorum`].
-    pub(super) fn counted_id(&self, id: &ReplicaId) -> ReplicaId {
-        self.matching_member(id).unwrap_or_else(|| id.clone())
-    }
-
     /// Whether this replica is a voter in the latest configuration.
     pub(super) fn is_voter(&self) -> bool {
         let own_id = self.matching_member(&self.id);
@@ -436,18 +415,8 @@
         self.store_committed_configuration();
     }
 
-    /// Requests storage of the fact that the configuration is committed.
-    fn store_committed_configuration(&mut self) {
-        let index = self.configuration_index;
-        if index > self.committed_configuration_index && index <= self.commit_index {
-            self.committed_configuration_index = index;
-            self.unsaved.is_hard_state_changed = true;
-            self.persist();
-        }
-    }
-
     /// Requests storage of the changes of this step.
-    fn persist(&mut self) {
+    pub(super) fn persist(&mut self) {
         let unsaved = std::mem::take(&mut self.unsaved);
         let is_changed = unsaved.is_hard_state_changed
             || unsaved.first_entry_index.is_some()
--- a/crates/datapath/src/entry/forwarder.rs
+++ b/crates/datapath/src/entry/forwarder.rs
@@ -88,7 +88,7 @@
     next_attempt: AtomicU64,
     retry_log: LogRateLimiter,
     /// How long calls take, by which a node that stops decides which calls it still takes.
-    durations: Arc<Mutex<CallDurations>>,
+    pub(super) durations: Arc<Mutex<CallDurations>>,
 }
 
 impl Forwarder {
@@ -250,34 +250,6 @@
         }
     }
 
-    /// Refuses an attempt that may still run when the process is killed at the end of its stop. Its
-    /// response would be lost, while a refusal now is true.
-    fn check_end_before_stop(&self, call: &OutgoingCall) -> Result<(), CallFailure> {
-        let calls_end_at = match *self.dependencies.serving.borrow() {
-            ServingState::NotReady | ServingState::Ready | ServingState::Closing => return Ok(()),
-            ServingState::BackendCallsOnly { calls_end_at } => calls_end_at,
-            ServingState::FinishingOnly => return Err(Reason::Draining.into()),
-        };
-        let now_us = self.dependencies.clock.now_us();
-        let end_us = now_us + crate::datapath::remaining_us(calls_end_at);
-        let deadline_us = now_us + crate::datapath::remaining_us(call.deadline);
-        let durations = self.durations.lock().expect("no thread panics while it holds the lock");
-        if durations.ends_by(end_us, call.duration_kind, deadline_us, now_us) {
-            return Ok(());
-        }
-        drop(durations);
-        self.dependencies.metrics.count("entry.refused_before_stop", 1);
-        info!(
-            request = call.caller_request_id,
-            id = %call.context.request_id,
-            service = call.service,
-            left_ms = (end_us - now_us) / 1_000,
-            allowed_ms = (deadline_us - now_us) / 1_000,
-            "drain: call refused, it may outlast the process"
-        );
-        Err(Reason::Draining.into())
-    }
-
     fn take_token(&self, call: &OutgoingCall) -> bool {
         let now_us = self.dependencies.clock.now_us();
         self.retry().spend_token(call.ledger_span, &call.service, now_us)
--- a/crates/datapath/src/entry/mod.rs
+++ b/crates/datapath/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod key_issue;
 mod outgoing_call;
 mod retry_rules;
+mod stop_check;
 
 pub use caller_handler::CallerHandler;
 pub use candidate_updater::CandidateUpdater;
