Let a node that is alone announce its server at once

A node whose settings name only itself as a seed has nobody who could hold or know departures, and would have asked for 15 s after its start (read from the code; the test was run with the fix only).

Measured: a_node_that_is_alone_announces_its_backend_server_at_once passes.

--- a/crates/node/src/app/node.rs
+++ b/crates/node/src/app/node.rs
@@ -196,10 +196,11 @@
         });
         let log: Arc<dyn ControlLog> =
             Arc::new(RemoteLog::new(addresses.clone(), deployment_key.clone()));
+        let own_gossip_address = own_record(&settings, instance).gossip_address;
         let departures = Arc::new(DepartureService::new(DepartureServiceDependencies {
             node_name: settings.node_name.clone(),
             data_centre: settings.data_centre.clone(),
-            is_alone: settings.seeds.is_empty(),
+            is_alone: settings.seeds.iter().all(|seed| *seed == own_gossip_address),
             directory: Arc::clone(&directory),
             announcements: Arc::clone(&announcements),
             client: Arc::new(ControlHolderClient::new(deployment_key.clone())),
--- a/crates/tarragond/tests/processes/plain_nodes.rs
+++ b/crates/tarragond/tests/processes/plain_nodes.rs
@@ -1,5 +1,7 @@
 //! One control replica and up to two nodes with backend servers, one of which is killed or stopped.
 
+use std::time::Duration;
+
 use rustix::process::Signal;
 use serde_json::json;
 use tarragon_model::member::BackendState;
@@ -113,3 +115,17 @@
         assert_eq!(send_view(&cluster["replica-1"], &path).await.text, format!("only ran {path}"));
     }
 }
+
+/// Time within which a node that is alone announces its backend server, far below the time for which
+/// it would try to ask others.
+const ALONE_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Guards against a node that waits for others although its settings name only itself.
+#[tokio::test]
+async fn a_node_that_is_alone_announces_its_backend_server_at_once() {
+    let mut cluster = Cluster::new(&["replica-1"]);
+    cluster.start().await;
+    let _backend = FakeBackend::start("alone", &cluster["replica-1"]).await;
+    let ready = wait_until_ready(&cluster, "replica-1", 1);
+    assert!(tokio::time::timeout(ALONE_TIMEOUT, ready).await.is_ok());
+}
