Check connections that break together once

Since a probe is held open for 30 ms, requests that lost their connections at the same time waited for each other's checks, 30 ms each, and held their slots. A check that began after a connection was lost answers for it.

Measured: connections_that_break_together_are_checked_together (100 connections) takes over 0.6 s without this and passes.

--- a/crates/datapath/src/gate/crash_detector.rs
+++ b/crates/datapath/src/gate/crash_detector.rs
@@ -41,12 +41,21 @@
 /// A broken connection alone is no crash. The server has ended if it then refuses connections.
 pub(crate) struct CrashDetector {
     running: Mutex<RunningRequests>,
-    last_crash: tokio::sync::Mutex<Option<Instant>>,
+    last_check: tokio::sync::Mutex<LastCheck>,
     ledger: Arc<SharedLedger>,
     /// Tracks the checks after responses that broke off.
     tracker: TaskTracker,
 }
 
+/// Times of the latest checks whether the server has crashed.
+#[derive(Default)]
+struct LastCheck {
+    /// Start of the latest check.
+    started_at: Option<Instant>,
+    /// End of the latest check that found a crash.
+    crashed_at: Option<Instant>,
+}
+
 #[derive(Default)]
 struct RunningRequests {
     next_run: u64,
@@ -55,8 +64,8 @@
 
 impl CrashDetector {
     pub(crate) fn new(ledger: Arc<SharedLedger>, tracker: TaskTracker) -> Self {
-        let (running, last_crash) = (Mutex::default(), tokio::sync::Mutex::default());
-        Self { running, last_crash, ledger, tracker }
+        let (running, last_check) = (Mutex::default(), tokio::sync::Mutex::default());
+        Self { running, last_check, ledger, tracker }
     }
 
     fn lock(&self) -> MutexGuard<'_, RunningRequests> {
@@ -91,12 +100,16 @@
     /// Checks whether the server has crashed, after a request lost its connection to it. All
     /// requests that ran then are still registered, since each of them waits for this check.
     async fn check(&self, address: SocketAddr) {
-        let mut last_crash = self.last_crash.lock().await;
-        if last_crash.is_some_and(|at| at.elapsed() < CRASH_WINDOW) {
+        let lost_at = Instant::now();
+        let mut last_check = self.last_check.lock().await;
+        // Many connections may break together; one check that begins after that answers for all.
+        let is_checked = last_check.started_at.is_some_and(|started_at| started_at >= lost_at);
+        if is_checked || last_check.crashed_at.is_some_and(|at| at.elapsed() < CRASH_WINDOW) {
             return;
         }
+        last_check.started_at = Some(Instant::now());
         if has_ended(address).await {
-            *last_crash = Some(Instant::now());
+            last_check.crashed_at = Some(Instant::now());
             let running: Vec<_> = self.lock().fingerprints.values().copied().collect();
             self.ledger.record_crash(&running);
         }
--- a/crates/datapath/src/gate/crash_detector/tests.rs
+++ b/crates/datapath/src/gate/crash_detector/tests.rs
@@ -1,8 +1,16 @@
+use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
+use futures_util::future::join_all;
 use tokio::net::TcpListener;
+use tokio_util::task::TaskTracker;
 
 use super::has_ended;
+use super::CrashDetector;
+use super::PROBE_HOLD;
+use crate::datapath::Clock;
+use crate::quarantine::SharedLedger;
 
 /// Guards against a crash that is not counted because the dying process still accepts a connection
 /// right after it has closed those of its requests.
@@ -34,3 +42,16 @@
     assert!(!has_ended(address).await, "it closes what it accepts");
     closing.abort();
 }
+
+/// Guards against requests that wait for each other's checks after a server has closed many
+/// connections at once.
+#[tokio::test]
+async fn connections_that_break_together_are_checked_together() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let ledger = Arc::new(SharedLedger::new(Clock::default()));
+    let detector = Arc::new(CrashDetector::new(ledger, TaskTracker::new()));
+    let started = Instant::now();
+    join_all((0..100).map(|_| detector.check(address))).await;
+    assert!(started.elapsed() < PROBE_HOLD * 20, "{:?}", started.elapsed());
+}
