Let the log go on when the leader is lost right after a repair

Half of the voters decides only from four voters on, and the former members are needed only where half of them, or of the new ones, might decide.

--- a/crates/consensus/src/protocol/cluster_configuration.rs
+++ b/crates/consensus/src/protocol/cluster_configuration.rs
@@ -5,6 +5,10 @@
 
 use crate::protocol::ReplicaId;
 
+/// Minimum number of voters of which half may decide. Of two, one would decide alone, and every change
+/// from two voters to three would need both of them until all know that it is committed.
+const MIN_VOTERS_FOR_HALF: usize = 4;
+
 /// The replicas that are members of the log.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClusterConfiguration {
@@ -80,8 +84,13 @@
         indices.len().checked_sub(quorum).map(|position| indices[position])
     }
 
+    /// Whether half of the voters may decide without a lost one.
+    pub fn may_decide_by_half(&self) -> bool {
+        self.voters.len() >= MIN_VOTERS_FOR_HALF && self.voters.len().is_multiple_of(2)
+    }
+
     /// The lost voter, if it makes a quorum smaller.
-    fn counted_loss<'a>(&self, lost_voter: Option<&'a ReplicaId>) -> Option<&'a ReplicaId> {
-        lost_voter.filter(|id| self.voters.len().is_multiple_of(2) && self.voters.contains(*id))
+    pub fn counted_loss<'a>(&self, lost_voter: Option<&'a ReplicaId>) -> Option<&'a ReplicaId> {
+        lost_voter.filter(|id| self.may_decide_by_half() && self.voters.contains(*id))
     }
 }
--- a/crates/consensus/src/raft/election.rs
+++ b/crates/consensus/src/raft/election.rs
@@ -107,8 +107,9 @@
 
     fn other_voters(&self) -> Vec<ReplicaId> {
         let own_id = self.own_member_id();
-        let configurations = self.quorum_configurations();
-        let voters = configurations.iter().flat_map(|members| &members.voters);
+        let previous = self.previous_configuration();
+        let configurations = [Some(&self.configuration), previous.as_ref()];
+        let voters = configurations.into_iter().flatten().flat_map(|members| &members.voters);
         let others: BTreeSet<&ReplicaId> = voters.filter(|id| **id != own_id).collect();
         others.into_iter().cloned().collect()
     }
--- a/crates/consensus/src/raft/membership.rs
+++ b/crates/consensus/src/raft/membership.rs
@@ -2,8 +2,8 @@
 //! the crate documentation).
 //!
 //! A change takes effect when it is appended, and the next one may start only after it is
-//! committed. Until then, quorums need a majority of the members before the change as well, because
-//! half of an even number of voters may suffice after a loss (see `docs/design.md`, section 5.2.1).
+//! committed. Until then, quorums may need the members before the change as well, because half of an
+//! even number of voters may suffice after a loss (see `docs/design.md`, section 5.2.1).
 //! A leader must first commit an entry of its own term; otherwise two leaders could each change one
 //! member of the same configuration, and the two results would differ in two members.
 
--- a/crates/consensus/src/raft/quorum.rs
+++ b/crates/consensus/src/raft/quorum.rs
@@ -1,8 +1,8 @@
 //! Quorums for elections, commits and reads, and what is known about lost disks.
 //!
-//! As long as a membership change is not committed, a quorum needs a majority of the new members
-//! and of those before. An even number of voters, one of which has certainly lost its disk, may
-//! decide by half of them. See `docs/design.md`, section 5.2.1.
+//! An even number of voters, one of which has certainly lost its disk, may decide by half of them.
+//! As long as a membership change to or from such a number is not committed, a quorum may need the
+//! members before it as well. See `docs/design.md`, section 5.2.1.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -17,11 +17,17 @@
 pub(super) type GrantedVotes = BTreeMap<ReplicaId, BTreeSet<ReplicaId>>;
 
 impl Replica {
-    /// The configurations in which a quorum is needed: the latest one and, until it is committed,
-    /// the one before.
-    pub(super) fn quorum_configurations(&self) -> Vec<ClusterConfiguration> {
+    /// The configurations in which a quorum is needed: the latest one and, until it is committed, the
+    /// one before, if half of its voters might decide without the latest one, or half of the latest
+    /// voters are to decide without `lost_voter`.
+    pub(super) fn quorum_configurations(
+        &self,
+        lost_voter: Option<&ReplicaId>,
+    ) -> Vec<ClusterConfiguration> {
         let mut configurations = vec![self.configuration.clone()];
-        configurations.extend(self.previous_configuration());
+        let is_half = self.configuration.counted_loss(lost_voter).is_some();
+        let previous = self.previous_configuration();
+        configurations.extend(previous.filter(|previous| is_half || previous.may_decide_by_half()));
         configurations
     }
 
@@ -43,7 +49,7 @@
         lost_voter: Option<&ReplicaId>,
         is_counted: impl Fn(&ReplicaId) -> bool,
     ) -> bool {
-        self.quorum_configurations()
+        self.quorum_configurations(lost_voter)
             .iter()
             .all(|configuration| configuration.is_quorum(lost_voter, &is_counted))
     }
@@ -51,7 +57,8 @@
     /// The members, and those before an uncommitted change: a removed voter is needed for the
     /// majority that commits its removal.
     pub(super) fn tracked_members(&self) -> Vec<ReplicaId> {
-        let configurations = self.quorum_configurations();
+        let mut configurations = vec![self.configuration.clone()];
+        configurations.extend(self.previous_configuration());
         let mut members: Vec<ReplicaId> =
             configurations.iter().flat_map(ClusterConfiguration::members).cloned().collect();
         members.sort_unstable();
--- a/crates/consensus/src/raft/replication.rs
+++ b/crates/consensus/src/raft/replication.rs
@@ -227,7 +227,7 @@
             None => 0,
         };
         let lost_voter = leader_state.lost_voter.as_ref();
-        let configurations = self.quorum_configurations();
+        let configurations = self.quorum_configurations(lost_voter);
         let quorum_indices = configurations
             .iter()
             .map(|configuration| configuration.quorum_index(lost_voter, match_index_of));
--- a/crates/consensus/tests/replica/losses.rs
+++ b/crates/consensus/tests/replica/losses.rs
@@ -255,3 +255,31 @@
     assert_eq!(count_votes_of_lost_voters(/* is_fault_injected */ true), 2);
     assert_eq!(count_votes_of_lost_voters(/* is_fault_injected */ false), 0);
 }
+
+/// Guards against a log that stops when the leader is lost right after a lost disk was replaced, since
+/// the others do not know yet that the new voter is committed.
+#[test]
+fn the_leader_may_be_lost_right_after_a_repair() {
+    fn property(seed: u64) -> Result<(), String> {
+        let mut sim = Sim::new(seed, 3, 0, settings(), ledger());
+        sim.wait_for_progress(LIMIT_MS)?;
+        sim.wait_for_agreement(LIMIT_MS)?;
+        let leader = sim.leader().ok_or("no leader")?;
+        let lost = (leader + 1) % 3;
+        sim.lose_disk(lost);
+        sim.start(lost);
+        for _ in 0..2_000 {
+            let status = sim.status(leader).ok_or("the leader runs")?;
+            let is_repaired = status.configuration.voters.contains(&sim.nodes[lost].id)
+                && status.previous_configuration.is_none();
+            if is_repaired {
+                break;
+            }
+            repair_members(&mut sim)?;
+            sim.run(1)?;
+        }
+        sim.remove_host(leader);
+        sim.wait_for_progress(LIMIT_MS)
+    }
+    check_property(115, 50, property as fn(u64) -> Result<(), String>);
+}
--- a/crates/control/src/control/api/internal.rs
+++ b/crates/control/src/control/api/internal.rs
@@ -35,7 +35,7 @@
     body: UntypedBody,
 ) -> Result<HttpResponseOk<FreeformBody>, HttpError> {
     let context = request.context();
-    let decoded_request: ControlRequest = sealed_request(&request, &body)?;
+    let decoded_request: ControlRequest = sealed_request(&request, &body, "control request")?;
     let result: ControlResult = match &context.local_log {
         Some(log) => log.request(&decoded_request).await,
         None => Err(ControlFailure::NotLeader { leader: None }),
@@ -50,7 +50,8 @@
     body: UntypedBody,
 ) -> Result<HttpResponseOk<FreeformBody>, HttpError> {
     let context = request.context();
-    let decoded_request: DepartureRequest = sealed_request(&request, &body)?;
+    let decoded_request: DepartureRequest =
+        sealed_request(&request, &body, "request about departures")?;
     sealed_response(context, &context.held_departures.answer(&decoded_request))
 }
 
@@ -75,16 +76,17 @@
     sealed_response(context, members.as_ref())
 }
 
-/// Decodes a request of another node, authenticated with the deployment key.
+/// Decodes a request of another node; `what` names it in the log. It is authenticated with the deployment key.
 fn sealed_request<T: DeserializeOwned>(
     request: &RequestContext<Arc<ApiContext>>,
     body: &UntypedBody,
+    what: &str,
 ) -> Result<T, HttpError> {
     let context = request.context();
     let key = &context.deployment_key;
     decode_authenticated(key, MessageChannel::Replica, body.as_bytes()).map_err(|e| {
         let from = request.request.remote_addr();
-        let message = || format!("note: dropped a request of another node from {from}: {e}");
+        let message = || format!("note: dropped a {what} from {from}: {e}");
         context.peer_auth_failures.record(message);
         HttpError::for_client_error(None, ClientErrorStatusCode::FORBIDDEN, e.to_string())
     })
