Announce a server sooner after a restart of its node

A process that starts waited for every holder of departures or their time limit, twice. Enough holders and 50 ms suffice now.

--- a/crates/control/src/departures/departure_service.rs
+++ b/crates/control/src/departures/departure_service.rs
@@ -43,6 +43,10 @@
 /// Time after which holders that have not responded are not waited for, if enough of them have.
 const SETTLE_TIME: Duration = Duration::from_millis(150);
 
+/// The same for a process that starts, whose server gets no requests meanwhile. It is several times the
+/// time that a response from another data centre takes.
+const FIND_SETTLE_TIME: Duration = Duration::from_millis(50);
+
 /// Time limit for having a departure held. The platform's backend servers wait a second for the
 /// acknowledgement.
 const HOLD_TIMEOUT: Duration = Duration::from_millis(850);
@@ -143,14 +147,15 @@
         let request = DepartureRequest::Find { node: self.dependencies.node_name.clone() };
         let is_complete = loop {
             let holders: BTreeSet<SocketAddr> = self.holders().into_iter().collect();
-            let responses = self.ask_holders(&request, usize::MAX, Duration::ZERO).await;
+            let enough = find_quorum(holders.len());
+            let responses = self.ask_holders(&request, enough, FIND_SETTLE_TIME).await;
             let response_count = responses.len();
             if response_count > 0 {
                 first_response.get_or_insert_with(Instant::now);
             }
             found.extend(responses.into_iter().flatten());
             let is_settled = !holders.is_empty() && holders == previous_holders;
-            if is_settled && response_count >= find_quorum(holders.len()) {
+            if is_settled && response_count >= enough {
                 break true;
             }
             if first_response.is_some_and(|at: Instant| at.elapsed() >= FIND_TIMEOUT) {
