Bound the memory for requests to the control API that never end

What callers saw: nothing yet; found by reading on the path next to the replica listener. Any host of the deployment's network could make a node keep 4 MiB on each of its connections, at every endpoint with a body.

Cause: a limit for each body, and none for all connections together. The bodies were read before the operator key was looked at.

Evidence: the test fails before with "/v1/notes: 356088 KiB at replica-1" (64 connections); the bound is 128 MB (docs/design.md, section 1.4).

Change: release notes and requests for the log, the only large ones, are read four at a time beyond 64 KiB, within 10 s; after a second of waiting they are refused with 503 before anything changes. All other bodies have 64 KiB at most. The operator key is checked before the body is read.

--- a/crates/control/src/control/api/api_context.rs
+++ b/crates/control/src/control/api/api_context.rs
@@ -11,6 +11,7 @@
 use tarragon_model::identity::InstanceId;
 use tarragon_wire::DeploymentKey;
 
+use crate::control::api::LargeBodies;
 use crate::control::AuthFailureRecorder;
 use crate::control::ControlFailure;
 use crate::control::ControlLog;
@@ -48,6 +49,8 @@
     pub held_departures: HeldDepartures,
     /// The gate in front of the local backend server.
     pub gate: Arc<dyn GateView>,
+    /// Reads large request bodies, within a limit on the memory for all of them.
+    pub large_bodies: LargeBodies,
     /// Secret key shared by the nodes.
     pub deployment_key: DeploymentKey,
     /// Secret key of the operators.
--- a/crates/control/src/control/api/internal.rs
+++ b/crates/control/src/control/api/internal.rs
@@ -7,6 +7,7 @@
 use dropshot::HttpResponseOk;
 use dropshot::Query;
 use dropshot::RequestContext;
+use dropshot::StreamingBody;
 use dropshot::UntypedBody;
 use schemars::JsonSchema;
 use serde::de::DeserializeOwned;
@@ -16,6 +17,7 @@
 use tarragon_wire::encode_authenticated;
 use tarragon_wire::MessageChannel;
 
+use crate::control::api::large_bodies::MAX_LARGE_BODY_BYTES;
 use crate::control::api::ApiContext;
 use crate::control::ControlFailure;
 use crate::control::ControlRequest;
@@ -29,12 +31,17 @@
 }
 
 /// Executes a control request of another node. Only a node with a replica does so.
-#[endpoint { method = POST, path = "/v1/control" }]
+#[endpoint {
+    method = POST,
+    path = "/v1/control",
+    request_body_max_bytes = MAX_LARGE_BODY_BYTES,
+}]
 pub async fn control_request(
     request: RequestContext<Arc<ApiContext>>,
-    body: UntypedBody,
+    body: StreamingBody,
 ) -> Result<HttpResponseOk<FreeformBody>, HttpError> {
     let context = request.context();
+    let body = context.large_bodies.read(body).await?;
     let decoded_request: ControlRequest = sealed_request(&request, &body, "control request")?;
     let result: ControlResult = match &context.local_log {
         Some(log) => log.request(&decoded_request).await,
@@ -51,7 +58,7 @@
 ) -> Result<HttpResponseOk<FreeformBody>, HttpError> {
     let context = request.context();
     let decoded_request: DepartureRequest =
-        sealed_request(&request, &body, "request about departures")?;
+        sealed_request(&request, body.as_bytes(), "request about departures")?;
     sealed_response(context, &context.held_departures.answer(&decoded_request))
 }
 
@@ -79,12 +86,12 @@
 /// Decodes a request of another node; `what` names it in the log. It is authenticated with the deployment key.
 fn sealed_request<T: DeserializeOwned>(
     request: &RequestContext<Arc<ApiContext>>,
-    body: &UntypedBody,
+    body: &[u8],
     what: &str,
 ) -> Result<T, HttpError> {
     let context = request.context();
     let key = &context.deployment_key;
-    decode_authenticated(key, MessageChannel::Replica, body.as_bytes()).map_err(|e| {
+    decode_authenticated(key, MessageChannel::Replica, body).map_err(|e| {
         let from = request.request.remote_addr();
         let message = || format!("note: dropped a {what} from {from}: {e}");
         context.peer_auth_failures.record(message);
--- /dev/null
+++ b/crates/control/src/control/api/large_bodies.rs
@@ -0,0 +1,82 @@
+use std::pin::pin;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use dropshot::ClientErrorStatusCode;
+use dropshot::HttpError;
+use dropshot::StreamingBody;
+use futures_util::TryStreamExt;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
+
+/// Maximum size of a large request body, in bytes; a release note with every service of a large
+/// deployment fits.
+pub const MAX_LARGE_BODY_BYTES: usize = 4 << 20;
+
+/// Number of bytes of a body that are read at once. Most requests between nodes are smaller.
+const MAX_SMALL_BODY_BYTES: usize = 64 << 10;
+
+/// Maximum number of bodies of which more is read at the same time. Each is kept whole in memory, before
+/// its sender is authenticated in the case of a node.
+const MAX_LARGE_BODIES: usize = 4;
+
+/// Time after which a body that may not be read further is refused. The connections that wait keep some
+/// hundred KiB each.
+const PERMIT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time limit for reading a body, so that one that never ends keeps out no others.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Reads the request bodies of the endpoints whose requests may be large.
+pub struct LargeBodies {
+    permits: Semaphore,
+}
+
+impl Default for LargeBodies {
+    fn default() -> Self {
+        Self { permits: Semaphore::new(MAX_LARGE_BODIES) }
+    }
+}
+
+impl LargeBodies {
+    /// Reads a whole body.
+    ///
+    /// # Errors
+    /// 400 if the body is too long or breaks off, 408 if it does not arrive in time, 503 if too many
+    /// others arrive. The request has changed nothing.
+    pub async fn read(&self, body: StreamingBody) -> Result<Vec<u8>, HttpError> {
+        let read = tokio::time::timeout(BODY_TIMEOUT, self.read_chunks(body)).await;
+        read.unwrap_or_else(|_| {
+            let message = format!("the body did not arrive within {BODY_TIMEOUT:?}");
+            Err(HttpError::for_client_error(None, ClientErrorStatusCode::REQUEST_TIMEOUT, message))
+        })
+    }
+
+    async fn read_chunks(&self, body: StreamingBody) -> Result<Vec<u8>, HttpError> {
+        let mut chunks = pin!(body.into_stream());
+        let mut bytes = BytesMut::new();
+        let mut permit = None;
+        while let Some(chunk) = chunks.try_next().await? {
+            bytes.extend_from_slice(&chunk);
+            drop(chunk);
+            if bytes.len() > MAX_SMALL_BODY_BYTES && permit.is_none() {
+                permit = Some(self.acquire().await?);
+                // A buffer that grows would take up to three times as much while it is copied.
+                bytes.reserve(MAX_LARGE_BODY_BYTES.saturating_sub(bytes.len()));
+            }
+        }
+        Ok(bytes.into())
+    }
+
+    async fn acquire(&self) -> Result<SemaphorePermit<'_>, HttpError> {
+        match tokio::time::timeout(PERMIT_TIMEOUT, self.permits.acquire()).await {
+            Ok(Ok(permit)) => Ok(permit),
+            Ok(Err(_)) | Err(_) => {
+                let message = format!("{MAX_LARGE_BODIES} other large bodies are being read");
+                let mut error = HttpError::for_unavail(None, message.clone());
+                error.external_message = message;
+                Err(error)
+            }
+        }
+    }
+}
--- a/crates/control/src/control/api/notes.rs
+++ b/crates/control/src/control/api/notes.rs
@@ -6,7 +6,7 @@
 use dropshot::HttpResponseOk;
 use dropshot::Path;
 use dropshot::RequestContext;
-use dropshot::UntypedBody;
+use dropshot::StreamingBody;
 use schemars::JsonSchema;
 use serde::Deserialize;
 use tarragon_model::api::DataCentreRevision;
@@ -17,6 +17,7 @@
 use tracing::info;
 
 use crate::control::api::api_context::require_operator;
+use crate::control::api::large_bodies::MAX_LARGE_BODY_BYTES;
 use crate::control::api::ApiContext;
 use crate::control::ControlCommand;
 use crate::control::ControlQuery;
@@ -30,13 +31,20 @@
 }
 
 /// Submits a release note.
-#[endpoint { method = POST, path = "/v1/notes" }]
+#[endpoint {
+    method = POST,
+    path = "/v1/notes",
+    request_body_max_bytes = MAX_LARGE_BODY_BYTES,
+}]
 pub async fn submit_note(
     request: RequestContext<Arc<ApiContext>>,
-    body: UntypedBody,
+    body: StreamingBody,
 ) -> Result<HttpResponseOk<SubmitAnswer>, HttpError> {
     require_operator(&request)?;
-    let note = match ReleaseNote::from_json(body.as_str()?) {
+    let body = request.context().large_bodies.read(body).await?;
+    let text = std::str::from_utf8(&body)
+        .map_err(|e| HttpError::for_bad_request(None, format!("the note is not UTF-8: {e}")))?;
+    let note = match ReleaseNote::from_json(text) {
         Ok(note) => note,
         Err(mistakes) => return Ok(HttpResponseOk(SubmitAnswer::Invalid { mistakes })),
     };
--- a/crates/control/src/control/api/server.rs
+++ b/crates/control/src/control/api/server.rs
@@ -26,9 +26,8 @@
 use crate::control::api::status;
 use crate::control::api::ApiContext;
 
-/// Maximum size of a request body, in bytes; a release note with every service of a large
-/// deployment fits.
-const MAX_BODY_BYTES: usize = 4 << 20;
+/// Maximum size of a request body, in bytes, at endpoints without a limit of their own.
+const MAX_BODY_BYTES: usize = 64 << 10;
 
 /// Serves the control API.
 pub struct ControlApi {
--- a/crates/tarragond/tests/processes/unfinished_messages.rs
+++ b/crates/tarragond/tests/processes/unfinished_messages.rs
@@ -53,6 +53,12 @@
     drop(open);
 }
 
+fn http_head(path: &str, key: &str) -> Vec<u8> {
+    let length = format!("Content-Length: {MESSAGE_BYTES}");
+    let key = format!("Authorization: Bearer {key}");
+    format!("POST {path} HTTP/1.1\r\nHost: control\r\n{key}\r\n{length}\r\n\r\n").into_bytes()
+}
+
 /// Guards against a replica that runs out of memory because it keeps a whole message on each of its
 /// connections before it knows who sends it.
 #[tokio::test(flavor = "multi_thread")]
@@ -62,3 +68,14 @@
     let replica = cluster["replica-1"].addresses.replica;
     check(&cluster, "replica", replica, MESSAGE_BYTES.to_be_bytes().to_vec()).await;
 }
+
+/// Guards against the same at the control API, from operators and other nodes.
+#[tokio::test(flavor = "multi_thread")]
+async fn memory_is_bounded_while_control_requests_do_not_end() {
+    for path in ["/v1/notes", "/v1/control", "/v1/departures", "/v1/backend", "/v1/drain"] {
+        let mut cluster = Cluster::new(&["replica-1", "replica-2", "replica-3"]);
+        cluster.start().await;
+        let control = cluster["replica-1"].addresses.control;
+        check(&cluster, path, control, http_head(path, &cluster.operator.key())).await;
+    }
+}
