Announce a server within 150 ms once the members are known

Cause: a process that starts asks for departures in rounds at fixed intervals of 100 ms, the first before it knows any member.

Change: the next round starts as soon as other holders become known, and otherwise after 50 ms; only the last round waits for more than enough holders. The same holders must answer in two rounds, as before.

The new test fails before (Absent instead of Ready).

--- a/crates/control/src/departures/departure_service.rs
+++ b/crates/control/src/departures/departure_service.rs
@@ -51,8 +51,12 @@
 /// acknowledgement.
 const HOLD_TIMEOUT: Duration = Duration::from_millis(850);
 
-/// Pause between two rounds of requests to the holders.
-const ROUND_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between two rounds of requests to hold a departure.
+const HOLD_PAUSE: Duration = Duration::from_millis(100);
+
+/// Pause between two rounds of requests of a process that starts, unless other holders become known
+/// meanwhile. It is longer than fetching the list of members takes.
+const FIND_PAUSE: Duration = Duration::from_millis(50);
 
 /// Time after the first response to a new process, after which holders that do not respond are not
 /// waited for. Nodes that are down or cut off are among the members for some time.
@@ -125,7 +129,7 @@
                 self.confirm(departure);
                 return true;
             }
-            tokio::time::sleep(ROUND_PAUSE).await;
+            tokio::time::sleep(HOLD_PAUSE).await;
         }
         warn!(
             server = departure.id,
@@ -146,15 +150,16 @@
         let mut found: Vec<ServerDeparture> = Vec::new();
         let request = DepartureRequest::Find { node: self.dependencies.node_name.clone() };
         let is_complete = loop {
-            let holders: BTreeSet<SocketAddr> = self.holders().into_iter().collect();
+            let holders = self.holder_set();
             let enough = find_quorum(holders.len());
-            let responses = self.ask_holders(&request, enough, FIND_SETTLE_TIME).await;
+            let is_settled = !holders.is_empty() && holders == previous_holders;
+            let settle_time = if is_settled { FIND_SETTLE_TIME } else { Duration::ZERO };
+            let responses = self.ask_holders(&request, enough, settle_time).await;
             let response_count = responses.len();
             if response_count > 0 {
                 first_response.get_or_insert_with(Instant::now);
             }
             found.extend(responses.into_iter().flatten());
-            let is_settled = !holders.is_empty() && holders == previous_holders;
             if is_settled && response_count >= enough {
                 break true;
             }
@@ -164,8 +169,8 @@
             if started.elapsed() >= ASK_TIMEOUT {
                 break false;
             }
+            self.wait_for_other_holders(&holders).await;
             previous_holders = holders;
-            tokio::time::sleep(ROUND_PAUSE).await;
         };
         let elapsed_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
         if is_complete {
@@ -180,6 +185,25 @@
         self.dependencies.announcements.release(&found);
     }
 
+    /// Waits until the holders are other ones than these, for a limited time.
+    async fn wait_for_other_holders(&self, holders: &BTreeSet<SocketAddr>) {
+        let mut members = self.dependencies.directory.members();
+        let change = async {
+            while self.holder_set() == *holders {
+                if members.changed().await.is_err() {
+                    // The channel closes only when the node stops, and then this future is dropped.
+                    std::future::pending::<()>().await;
+                }
+            }
+        };
+        // Without a change, the same holders are asked again.
+        let _ = tokio::time::timeout(FIND_PAUSE, change).await;
+    }
+
+    fn holder_set(&self) -> BTreeSet<SocketAddr> {
+        self.holders().into_iter().collect()
+    }
+
     fn holders(&self) -> Vec<SocketAddr> {
         let DepartureServiceDependencies { node_name, data_centre, directory, .. } =
             &self.dependencies;
--- a/crates/control/tests/control/departures.rs
+++ b/crates/control/tests/control/departures.rs
@@ -38,6 +38,12 @@
 /// Time for which a request to a holder that is cut off waits, in ms.
 const CUT_OFF_TIMEOUT_MS: u64 = 350;
 
+/// Time in which a process that starts gets to know the members, in ms.
+const JOIN_TIME_MS: u64 = 60;
+
+/// Time for asking the holders once the members are known, in ms (docs/design.md, section 5.4.1).
+const MAX_ASK_TIME_MS: u64 = 150;
+
 /// Start and id of the server that leaves.
 const STARTED_AT_MS: u64 = 5_000;
 const SERVER: &str = "i-7";
@@ -326,3 +332,21 @@
     deployment.holders.set_unreachable([]);
     assert!(process.leave(1).await);
 }
+
+/// Guards against backend servers that stay away for long after a restart of their node, because a
+/// holder does not respond and the members become known one after the other.
+#[tokio::test(start_paused = true)]
+async fn a_server_is_announced_soon_after_a_restart_of_its_node() {
+    let deployment = Deployment::new();
+    deployment.holders.set_unreachable(deployment.addresses(|member| member.node == "core-1"));
+    let all = deployment.members.send_replace(Arc::default());
+    let process = deployment.start();
+    process.announce(STARTED_AT_MS, 9, false);
+    sleep_ms(JOIN_TIME_MS / 2).await;
+    let first = all.iter().filter(|member| member.node == "core-0").cloned().collect();
+    deployment.members.send_replace(Arc::new(first));
+    sleep_ms(JOIN_TIME_MS / 2).await;
+    deployment.members.send_replace(all);
+    sleep_ms(MAX_ASK_TIME_MS).await;
+    assert_eq!(process.state(), BackendState::Ready);
+}
