Have a drain by operators held by other nodes

The process of a node whose server operators had drained was killed and started again; the server was ready at once, and its requests were cut when it was stopped for its cleaning.

Cause: the drain stood in the memory of one process.

Change: the nodes that hold departures hold the last order of operators as well. An order is acknowledged once half of them have it, a process that starts asks so many that one of them has each order, and the latest one is in force. It is repeated every 10 s for holders that restart.

--- a/crates/control/src/control/api/backend.rs
+++ b/crates/control/src/control/api/backend.rs
@@ -81,10 +81,13 @@
 ) -> Result<HttpResponseOk<DrainAnswer>, HttpError> {
     require_operator(&request)?;
     let context = request.context();
-    if let Some(refusal) = drain_refusal(context).filter(|_| !body.into_inner().force) {
+    let is_forced = body.into_inner().force;
+    if let Some(refusal) = drain_refusal(context).filter(|_| !is_forced) {
         return Ok(HttpResponseOk(refusal));
     }
-    context.announcements.set_drain(true);
+    if !context.departures.order_drain(true).await && !is_forced {
+        return Err(not_held("the server is drained"));
+    }
     let report = context.gate.report();
     let in_progress = report.in_flight + report.waiting;
     info!("drain: started by an operator, {in_progress} requests in progress");
@@ -97,11 +100,21 @@
     request: RequestContext<Arc<ApiContext>>,
 ) -> Result<HttpResponseUpdatedNoContent, HttpError> {
     require_operator(&request)?;
-    request.context().announcements.set_drain(false);
+    if !request.context().departures.order_drain(false).await {
+        return Err(not_held("the drain is ended"));
+    }
     info!("drain: ended by an operator");
     Ok(HttpResponseUpdatedNoContent())
 }
 
+/// Error for an order about a drain that takes effect but may be forgotten.
+fn not_held(effect: &str) -> HttpError {
+    let cause = format!("{effect}, but a restart of the node may undo it; repeat the command");
+    let mut error = HttpError::for_unavail(None, cause.clone());
+    error.external_message = cause;
+    error
+}
+
 /// Refuses the drain if another server of the service is draining and fewer than half of the
 /// service's servers would stay ready.
 fn drain_refusal(context: &ApiContext) -> Option<DrainAnswer> {
--- a/crates/control/src/departures/departure_request.rs
+++ b/crates/control/src/departures/departure_request.rs
@@ -2,7 +2,10 @@
 use serde::Serialize;
 use tarragon_model::api::ServerDeparture;
 
-/// Request of a node to one that holds departures for it. The response is a list of departures.
+use crate::departures::OperatorDrain;
+
+/// Request of a node to one that holds departures for it. The response is a
+/// [`HeldForNode`](crate::departures::HeldForNode).
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DepartureRequest {
     /// Hold the departure of the backend server of a node. The response contains it once it is held.
@@ -12,7 +15,15 @@
         /// The departure.
         departure: ServerDeparture,
     },
-    /// Return the departures that are held for a node.
+    /// Hold an order of operators about the drain of the backend server of a node. The response
+    /// contains it, or a later one.
+    HoldDrain {
+        /// Name of the node.
+        node: String,
+        /// The order.
+        drain: OperatorDrain,
+    },
+    /// Return what is held for a node.
     Find {
         /// Name of the node.
         node: String,
--- a/crates/control/src/departures/departure_service.rs
+++ b/crates/control/src/departures/departure_service.rs
@@ -4,7 +4,9 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use async_trait::async_trait;
 use error_stack::Report;
@@ -15,6 +17,7 @@
 use tarragon_kernel::Kernel;
 use tarragon_kernel::KernelError;
 use tarragon_kernel::Service;
+use tarragon_model::api::unix_ms;
 use tarragon_model::api::ServerDeparture;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -23,7 +26,9 @@
 
 use crate::departures::holders::choose_holders;
 use crate::departures::DepartureRequest;
+use crate::departures::HeldForNode;
 use crate::departures::HolderClient;
+use crate::departures::OperatorDrain;
 
 /// Minimum number of other nodes that hold a departure when it is acknowledged, if there are as many.
 /// With two, the node and one of them may fail at the same time.
@@ -66,6 +71,10 @@
 /// longer than announcements are late, and as long as the node waits for the catalogue.
 const ASK_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Interval at which the last order about a drain is repeated to the holders, some of which may have
+/// restarted.
+const DRAIN_REPEAT_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Maximum number of departures that are remembered as held.
 const MAX_CONFIRMED: usize = 16;
 
@@ -85,11 +94,13 @@
     pub client: Arc<dyn HolderClient>,
 }
 
-/// Has the departures of the local backend server held by other nodes, and learns at the start which
-/// ones an earlier process of this node has acknowledged.
+/// Has the departures of the local backend server and drains by operators held by other nodes, and learns
+/// at the start which ones an earlier process of this node has acknowledged.
 pub struct DepartureService {
     dependencies: DepartureServiceDependencies,
     confirmed: Mutex<Vec<ServerDeparture>>,
+    /// Last order of operators that this process knows.
+    drain: Mutex<OperatorDrain>,
     /// Whether the holders were asked at the start. Until then, some of them may not be known yet.
     is_recovered: AtomicBool,
 }
@@ -100,7 +111,12 @@
         if !dependencies.is_alone {
             dependencies.announcements.hold_back();
         }
-        Self { dependencies, confirmed: Mutex::default(), is_recovered: AtomicBool::new(false) }
+        Self {
+            dependencies,
+            confirmed: Mutex::default(),
+            drain: Mutex::default(),
+            is_recovered: AtomicBool::new(false),
+        }
     }
 
     /// Has a departure held by other nodes. Returns whether enough of them hold it, so that it may be
@@ -109,38 +125,78 @@
         if self.dependencies.is_alone || self.is_confirmed(departure) {
             return true;
         }
-        let started = Instant::now();
         let request = DepartureRequest::Hold {
             node: self.dependencies.node_name.clone(),
             departure: departure.clone(),
         };
+        let holds = |held: &HeldForNode| held.departures.iter().any(|h| h.covers(departure));
+        let is_held = self.hold_at_others(&request, holds).await;
+        if is_held {
+            self.confirm(departure);
+        } else {
+            warn!(
+                server = departure.id,
+                started_at_ms = departure.started_at_ms,
+                "drain: a departure is not acknowledged, too few other nodes hold it"
+            );
+        }
+        is_held
+    }
+
+    /// Starts or ends a drain on the order of an operator, and has the order held by other nodes. Returns
+    /// whether enough of them hold it, so that it outlives this process.
+    pub async fn order_drain(&self, is_draining: bool) -> bool {
+        let drain = {
+            let mut drain = self.lock_drain();
+            let changed_at_ms = unix_ms(SystemTime::now()).max(drain.changed_at_ms + 1);
+            *drain = OperatorDrain { is_draining, changed_at_ms };
+            self.dependencies.announcements.set_drain(is_draining);
+            *drain
+        };
+        if self.dependencies.is_alone {
+            return true;
+        }
+        let is_held = self.hold_drain(drain).await;
+        if !is_held {
+            warn!(is_draining, "drain: too few other nodes hold the order of an operator");
+        }
+        is_held
+    }
+
+    async fn hold_drain(&self, drain: OperatorDrain) -> bool {
+        let node = self.dependencies.node_name.clone();
+        let request = DepartureRequest::HoldDrain { node, drain };
+        let holds = |held: &HeldForNode| held.drain.changed_at_ms >= drain.changed_at_ms;
+        self.hold_at_others(&request, holds).await
+    }
+
+    /// Sends a request to the holders until enough of them hold what it says, or until the time limit has
+    /// passed. Returns whether they do.
+    async fn hold_at_others(
+        &self,
+        request: &DepartureRequest,
+        holds: impl Fn(&HeldForNode) -> bool,
+    ) -> bool {
+        let started = Instant::now();
         while started.elapsed() < HOLD_TIMEOUT {
             let holder_count = self.holders().len();
             let needed = match self.is_recovered.load(Ordering::Relaxed) {
                 true => hold_quorum(holder_count),
                 false => hold_quorum(holder_count).max(MIN_HOLDERS),
             };
-            let round = self.ask_holders(&request, needed, SETTLE_TIME);
+            let round = self.ask_holders(request, needed, SETTLE_TIME);
             let left = HOLD_TIMEOUT.saturating_sub(started.elapsed());
             let responses = tokio::time::timeout(left, round).await.unwrap_or_default();
-            let holds = |held: &&Vec<ServerDeparture>| held.iter().any(|h| h.covers(departure));
-            let held_count = responses.iter().filter(holds).count();
-            if held_count >= needed {
-                self.confirm(departure);
+            if responses.iter().filter(|held| holds(held)).count() >= needed {
                 return true;
             }
             tokio::time::sleep(HOLD_PAUSE).await;
         }
-        warn!(
-            server = departure.id,
-            started_at_ms = departure.started_at_ms,
-            "drain: a departure is not acknowledged, too few other nodes hold it"
-        );
         false
     }
 
-    /// Asks the holders which departures earlier processes of this node have acknowledged, and then lets
-    /// the announcements through.
+    /// Asks the holders which departures and drains earlier processes of this node have acknowledged, and
+    /// then lets the announcements through.
     ///
     /// Members become known one after the other, so the holders must be the same in two rounds.
     async fn recover(&self) {
@@ -148,6 +204,7 @@
         let mut first_response = None;
         let mut previous_holders = BTreeSet::new();
         let mut found: Vec<ServerDeparture> = Vec::new();
+        let mut drain = OperatorDrain::default();
         let request = DepartureRequest::Find { node: self.dependencies.node_name.clone() };
         let is_complete = loop {
             let holders = self.holder_set();
@@ -159,7 +216,12 @@
             if response_count > 0 {
                 first_response.get_or_insert_with(Instant::now);
             }
-            found.extend(responses.into_iter().flatten());
+            for held in responses {
+                found.extend(held.departures);
+                if held.drain.changed_at_ms > drain.changed_at_ms {
+                    drain = held.drain;
+                }
+            }
             if is_settled && response_count >= enough {
                 break true;
             }
@@ -176,15 +238,49 @@
         if is_complete {
             info!(
                 departures = found.len(),
-                elapsed_ms, "drain: asked for departures before the start"
+                is_draining = drain.is_draining,
+                elapsed_ms,
+                "drain: asked for departures before the start"
             );
         } else {
             warn!(elapsed_ms, "drain: nobody could be asked for departures before the start");
         }
         self.is_recovered.store(true, Ordering::Relaxed);
+        self.adopt_drain(drain);
         self.dependencies.announcements.release(&found);
     }
 
+    /// Takes over the last order that an earlier process was given. One that this process was given
+    /// meanwhile comes later, whatever the clocks say.
+    fn adopt_drain(&self, found: OperatorDrain) {
+        let mut drain = self.lock_drain();
+        if drain.changed_at_ms > 0 {
+            drain.changed_at_ms = drain.changed_at_ms.max(found.changed_at_ms + 1);
+            return;
+        }
+        *drain = found;
+        if found.is_draining {
+            info!("drain: operators drain the backend server since before this process started");
+            self.dependencies.announcements.set_drain(true);
+        }
+    }
+
+    /// Repeats the last order about a drain, so that holders that have restarted know it as well.
+    async fn repeat_drain(&self) {
+        let mut interval = tokio::time::interval(DRAIN_REPEAT_INTERVAL);
+        loop {
+            interval.tick().await;
+            let drain = *self.lock_drain();
+            if drain.changed_at_ms > 0 && !self.hold_drain(drain).await {
+                warn!("drain: too few other nodes hold the last order of an operator");
+            }
+        }
+    }
+
+    fn lock_drain(&self) -> MutexGuard<'_, OperatorDrain> {
+        self.drain.lock().expect("no thread panics while it holds the lock")
+    }
+
     /// Waits until the holders are other ones than these, for a limited time.
     async fn wait_for_other_holders(&self, holders: &BTreeSet<SocketAddr>) {
         let mut members = self.dependencies.directory.members();
@@ -219,7 +315,7 @@
         request: &DepartureRequest,
         enough: usize,
         settle_time: Duration,
-    ) -> Vec<Vec<ServerDeparture>> {
+    ) -> Vec<HeldForNode> {
         let holders = self.holders();
         let client = &self.dependencies.client;
         let queries = holders.iter().map(|holder| client.send(*holder, request));
@@ -274,6 +370,10 @@
                 () = stop.cancelled() => return Ok(()),
                 () = self.recover() => {}
             }
+            tokio::select! {
+                () = stop.cancelled() => return Ok(()),
+                () = self.repeat_drain() => {}
+            }
         }
         stop.cancelled().await;
         Ok(())
--- a/crates/control/src/departures/holder_client.rs
+++ b/crates/control/src/departures/holder_client.rs
@@ -3,7 +3,6 @@
 use async_trait::async_trait;
 use http::Method;
 use tarragon_client::ControlClient;
-use tarragon_model::api::ServerDeparture;
 use tarragon_wire::decode_authenticated;
 use tarragon_wire::encode_authenticated;
 use tarragon_wire::DeploymentKey;
@@ -11,6 +10,7 @@
 use tracing::debug;
 
 use crate::departures::DepartureRequest;
+use crate::departures::HeldForNode;
 
 /// Path at which a node takes requests about departures.
 pub const DEPARTURES_PATH: &str = "/v1/departures";
@@ -22,13 +22,9 @@
 /// Sends requests to the nodes that hold departures.
 #[async_trait]
 pub trait HolderClient: Send + Sync {
-    /// Sends a request to the node with this control address. Returns the departures that it holds, or
+    /// Sends a request to the node with this control address. Returns what it holds for this node, or
     /// `None` if it does not respond.
-    async fn send(
-        &self,
-        holder: SocketAddr,
-        request: &DepartureRequest,
-    ) -> Option<Vec<ServerDeparture>>;
+    async fn send(&self, holder: SocketAddr, request: &DepartureRequest) -> Option<HeldForNode>;
 }
 
 /// Sends the requests over the control API.
@@ -46,11 +42,7 @@
 
 #[async_trait]
 impl HolderClient for ControlHolderClient {
-    async fn send(
-        &self,
-        holder: SocketAddr,
-        request: &DepartureRequest,
-    ) -> Option<Vec<ServerDeparture>> {
+    async fn send(&self, holder: SocketAddr, request: &DepartureRequest) -> Option<HeldForNode> {
         let body = match encode_authenticated(&self.key, MessageChannel::Replica, request) {
             Ok(body) => body,
             Err(e) => {
@@ -71,7 +63,7 @@
             }
         };
         match decode_authenticated(&self.key, MessageChannel::Replica, &response.body) {
-            Ok(departures) => Some(departures),
+            Ok(held) => Some(held),
             Err(e) => {
                 debug!("drain: malformed response about departures from {holder}: {e}");
                 None
--- a/crates/control/tests/control/departures.rs
+++ b/crates/control/tests/control/departures.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -16,6 +17,7 @@
 use tarragon_control::departures::DepartureService;
 use tarragon_control::departures::DepartureServiceDependencies;
 use tarragon_control::departures::HeldDepartures;
+use tarragon_control::departures::HeldForNode;
 use tarragon_control::departures::HolderClient;
 use tarragon_datapath::backend::AnnouncementTracker;
 use tarragon_datapath::directory::DirectoryWatch;
@@ -48,6 +50,9 @@
 const STARTED_AT_MS: u64 = 5_000;
 const SERVER: &str = "i-7";
 
+/// Time after which holders that have restarted know the last order of operators again, in ms.
+const REPEAT_TIME_MS: u64 = 11_000;
+
 /// Why a lock can be taken.
 const NO_PANIC: &str = "no thread panics while it holds the lock";
 
@@ -74,11 +79,7 @@
 
 #[async_trait]
 impl HolderClient for Holders {
-    async fn send(
-        &self,
-        holder: SocketAddr,
-        request: &DepartureRequest,
-    ) -> Option<Vec<ServerDeparture>> {
+    async fn send(&self, holder: SocketAddr, request: &DepartureRequest) -> Option<HeldForNode> {
         if self.unreachable.lock().expect(NO_PANIC).contains(&holder) {
             tokio::time::sleep(Duration::from_millis(CUT_OFF_TIMEOUT_MS)).await;
             return None;
@@ -206,6 +207,16 @@
     }
 }
 
+fn run_paused(play: impl Future<Output = Result<(), String>>) -> Result<(), String> {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime without I/O can be built");
+    runtime.block_on(play)
+}
+
 async fn sleep_ms(ms: u64) {
     tokio::time::sleep(Duration::from_millis(ms)).await;
 }
@@ -287,13 +298,7 @@
 #[test]
 fn a_departure_is_kept_through_restarts_of_the_node() {
     fn property(seed: u64) -> Result<(), String> {
-        let mut builder = tokio::runtime::Builder::new_current_thread();
-        let runtime = builder
-            .enable_time()
-            .start_paused(true)
-            .build()
-            .expect("a runtime without I/O can be built");
-        runtime.block_on(play(seed))
+        run_paused(play(seed))
     }
     check_property(131, 400, property as fn(u64) -> Result<(), String>);
 }
@@ -350,3 +355,61 @@
     sleep_ms(MAX_ASK_TIME_MS).await;
     assert_eq!(process.state(), BackendState::Ready);
 }
+
+/// Plays orders of operators, restarts of the node and failures of single holders. Returns an error if the
+/// server is not in the state that the last acknowledged order asks for.
+async fn play_orders(seed: u64) -> Result<(), String> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let deployment = Deployment::new();
+    let others = deployment.addresses(|member| member.node != LEAVING);
+    let mut process = deployment.start();
+    let mut expected = BackendState::Ready;
+    for sequence in 1..=rng.random_range(2..12) {
+        let down = match rng.random_range(0..3) {
+            0 => Vec::new(),
+            1 => vec![others[rng.random_range(0..others.len())]],
+            _ => deployment.addresses(|member| member.data_centre == "dc-1"),
+        };
+        deployment.holders.set_unreachable(down);
+        match rng.random_range(0..3) {
+            0 => {
+                drop(process);
+                sleep_ms(rng.random_range(100..60_000)).await;
+                process = deployment.start();
+            }
+            1 => {
+                deployment.holders.restart(others[rng.random_range(0..others.len())]);
+                // The last order is repeated before the next holder restarts.
+                sleep_ms(REPEAT_TIME_MS).await;
+            }
+            _ => {
+                let is_draining = rng.random_bool(0.5);
+                while !process.service.order_drain(is_draining).await {}
+                expected = if is_draining { BackendState::Draining } else { BackendState::Ready };
+            }
+        }
+        // Long enough for a process that has just started to ask the holders.
+        for _ in 0..3 {
+            process.announce(STARTED_AT_MS, sequence, false);
+            sleep_ms(1_000).await;
+            let state = process.state();
+            if state == BackendState::Ready && expected == BackendState::Draining {
+                return Err("a server that operators drain gets requests".into());
+            }
+        }
+        if process.state() != expected {
+            return Err(format!("{:?} instead of {expected:?}", process.state()));
+        }
+    }
+    Ok(())
+}
+
+/// Guards against a server that operators drain and that gets requests again because the process of its
+/// node was restarted, and against a drain that comes back after it was ended.
+#[test]
+fn a_drain_by_operators_is_kept_through_restarts_of_the_node() {
+    fn property(seed: u64) -> Result<(), String> {
+        run_paused(play_orders(seed))
+    }
+    check_property(132, 200, property as fn(u64) -> Result<(), String>);
+}
--- a/crates/tarragond/tests/processes/plain_nodes.rs
+++ b/crates/tarragond/tests/processes/plain_nodes.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use http::Method;
 use rustix::process::Signal;
 use serde_json::json;
+use serde_json::Value;
 use tarragon_model::member::BackendState;
 
 use crate::support::send_view;
@@ -129,3 +131,37 @@
     let ready = wait_until_ready(&cluster, "replica-1", 1);
     assert!(tokio::time::timeout(ALONE_TIMEOUT, ready).await.is_ok());
 }
+
+/// Guards against a server that operators drain and that gets requests again because the process of its
+/// node was killed, and against one that stays drained after they ended the drain.
+#[tokio::test]
+async fn a_drain_outlives_the_process_that_acknowledged_it() {
+    let mut cluster = Cluster::new(&["replica-1", "plain-1", "plain-2"]);
+    cluster.start().await;
+    let first = FakeBackend::start("first", &cluster["plain-1"]).await;
+    let _second = FakeBackend::start("second", &cluster["plain-2"]).await;
+    wait_until_ready(&cluster, "replica-1", 2).await;
+    let drained = &cluster["plain-1"];
+    let order = cluster.operator.send(drained, Method::POST, "/v1/drain", &json!({})).await;
+    assert!(order.is_some_and(|response| response.status.is_success()));
+    cluster["plain-1"].kill();
+    cluster["plain-1"].start();
+    let is_announced = async || {
+        let status = cluster.operator.status(&cluster["plain-1"]).await?;
+        (status.backend.state != BackendState::Absent).then_some(status.backend.state)
+    };
+    let state = wait_until("the server is announced again", is_announced).await;
+    assert_eq!(state, BackendState::Draining);
+    for index in 0..REQUESTS {
+        let path = format!("/drained/{index}");
+        let response = send_view(&cluster["replica-1"], &path).await;
+        assert_eq!(response.text, format!("second ran {path}"));
+        assert_eq!(first.run_count(&path), 0);
+    }
+    let drained = &cluster["plain-1"];
+    let order = cluster.operator.send(drained, Method::DELETE, "/v1/drain", &Value::Null).await;
+    assert!(order.is_some_and(|response| response.status.is_success()));
+    cluster["plain-1"].kill();
+    cluster["plain-1"].start();
+    wait_until_ready(&cluster, "replica-1", 2).await;
+}
