--- a/crates/node/src/app/node.rs
+++ b/crates/node/src/app/node.rs
@@ -12,7 +12,6 @@
 use tarragon_control::claims::ReplicatedKeyClaims;
 use tarragon_control::control::api::ApiContext;
 use tarragon_control::control::api::ControlApi;
-use tarragon_control::control::api::LargeBodies;
 use tarragon_control::control::AuthFailureRecorder;
 use tarragon_control::control::ControlLog;
 use tarragon_control::control::ControlQuery;
@@ -219,7 +218,7 @@
             announcements: Arc::clone(&announcements),
             departures: Arc::clone(&departures),
             held_departures: HeldDepartures::default(),
-            large_bodies: LargeBodies::default(),
+            large_bodies: Default::default(),
             gate: Arc::clone(&gate) as _,
             deployment_key: deployment_key.clone(),
             operator_key,
