Have a stopping gate refuse what may outlast its process

A gate that stops took requests of all nodes for 1.7 s. A run of more than 4.3 s that started then was cut when the process was killed; its caller, at a node that does not stop, got an unknown outcome.

Change: the rule for late calls holds at the gate from the beginning of the stop. A run must end in time by its deadline or by twice the longest recent run of its kind; what is refused runs at another server.

Evidence: without the rule all 40 requests of the new test run at the stopping node; with it none does, and short ones still do.

--- a/crates/datapath/src/datapath/data_path.rs
+++ b/crates/datapath/src/datapath/data_path.rs
@@ -140,6 +140,7 @@
             retry: Arc::clone(&retry),
             backend,
             catalogue: directory.catalogue(),
+            serving: serving.clone(),
             key,
             metrics: Arc::clone(&metrics),
             interface: backend_interface,
--- a/crates/datapath/src/datapath/serving_state.rs
+++ b/crates/datapath/src/datapath/serving_state.rs
@@ -8,8 +8,12 @@
     NotReady,
     /// The node serves requests.
     Ready,
-    /// The node still serves requests, and asks callers to reconnect to another node.
-    Closing,
+    /// The node still serves requests, and asks callers to reconnect to another node. Its gate runs only
+    /// what will end before the process is killed.
+    Closing {
+        /// Time by which a run must have ended.
+        calls_end_at: Instant,
+    },
     /// The time for callers to reconnect is over. The node serves only the calls that its own
     /// backend server makes, until the last request that runs there has finished, and only those
     /// that will end before the process is killed.
--- a/crates/datapath/src/entry/caller_handler.rs
+++ b/crates/datapath/src/entry/caller_handler.rs
@@ -95,7 +95,7 @@
         let is_refused = match *self.serving.borrow() {
             ServingState::FinishingOnly => true,
             ServingState::BackendCallsOnly { .. } => !self.expires_with_execution(&inbound),
-            ServingState::NotReady | ServingState::Ready | ServingState::Closing => false,
+            ServingState::NotReady | ServingState::Ready | ServingState::Closing { .. } => false,
         };
         if is_refused {
             // The caller was asked earlier to reconnect, and other nodes can serve it immediately.
@@ -236,7 +236,7 @@
         }
         let is_closing = matches!(
             *self.serving.borrow(),
-            ServingState::Closing
+            ServingState::Closing { .. }
                 | ServingState::BackendCallsOnly { .. }
                 | ServingState::FinishingOnly
         );
--- a/crates/datapath/src/entry/stop_check.rs
+++ b/crates/datapath/src/entry/stop_check.rs
@@ -11,7 +11,9 @@
     /// response would be lost, while a refusal now is true.
     pub(super) fn check_end_before_stop(&self, call: &OutgoingCall) -> Result<(), CallFailure> {
         let calls_end_at = match *self.dependencies.serving.borrow() {
-            ServingState::NotReady | ServingState::Ready | ServingState::Closing => return Ok(()),
+            ServingState::NotReady | ServingState::Ready | ServingState::Closing { .. } => {
+                return Ok(())
+            }
             ServingState::BackendCallsOnly { calls_end_at } => calls_end_at,
             ServingState::FinishingOnly => return Err(Reason::Draining.into()),
         };
--- a/crates/datapath/src/gate/admission_queue.rs
+++ b/crates/datapath/src/gate/admission_queue.rs
@@ -16,6 +16,9 @@
 use tarragon_policy::admission::RunOutcome;
 use tarragon_policy::admission::RunResult;
 use tarragon_policy::admission::Ticket;
+use tarragon_policy::stop::CallDurations;
+use tarragon_policy::stop::CallEnd;
+use tarragon_policy::stop::CallTicket;
 use tokio::sync::oneshot;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -44,6 +47,8 @@
 pub(crate) struct AdmissionQueue {
     state: Mutex<AdmissionState>,
     timer_changed: Notify,
+    /// How long runs take, by which a node that stops decides which requests it still runs.
+    durations: Mutex<CallDurations>,
     clock: Clock,
 }
 
@@ -55,7 +60,8 @@
             running_count: 0,
             timer_due_us: None,
         };
-        Self { state: Mutex::new(state), timer_changed: Notify::new(), clock }
+        let durations = Mutex::default();
+        Self { state: Mutex::new(state), timer_changed: Notify::new(), durations, clock }
     }
 
     fn lock(&self) -> MutexGuard<'_, AdmissionState> {
@@ -75,7 +81,7 @@
                 AdmissionDecision::Run(ticket) => {
                     state.running_count += 1;
                     self.reset_timer_if_earlier(&state);
-                    return Ok(ExecutionSlot::new(Arc::clone(self), ticket));
+                    return Ok(ExecutionSlot::new(Arc::clone(self), ticket, request.kind));
                 }
                 AdmissionDecision::Refuse(refusal) => {
                     // The policy may evict less important requests even if it refuses the new one.
@@ -97,7 +103,7 @@
             Ok(Ok(decision)) => {
                 queued.is_decided = true;
                 decision?;
-                Ok(ExecutionSlot::new(Arc::clone(self), ticket))
+                Ok(ExecutionSlot::new(Arc::clone(self), ticket, request.kind))
             }
             _ => Err(Reason::Late.into()),
         }
@@ -193,6 +199,18 @@
         self.lock().policy.mean_run_time(kind)
     }
 
+    /// Whether a request of this kind that runs now will have ended by `end`.
+    pub(crate) fn ends_by(&self, end: Instant, kind: u32, deadline: Instant) -> bool {
+        let now_us = self.clock.now_us();
+        let end_us = now_us + crate::datapath::remaining_us(end);
+        let deadline_us = now_us + crate::datapath::remaining_us(deadline);
+        self.lock_durations().ends_by(end_us, u64::from(kind), deadline_us, now_us)
+    }
+
+    fn lock_durations(&self) -> MutexGuard<'_, CallDurations> {
+        self.durations.lock().expect("no thread panics while it holds the lock")
+    }
+
     pub(crate) fn counts(&self) -> RequestCounts {
         let state = self.lock();
         RequestCounts { running: state.running_count, waiting: state.waiting.len() }
@@ -233,15 +251,18 @@
 pub(crate) struct ExecutionSlot {
     queue: Arc<AdmissionQueue>,
     ticket: Ticket,
+    duration: CallTicket,
     started: Instant,
     first_byte_us: Option<u64>,
     outcome: RunOutcome,
 }
 
 impl ExecutionSlot {
-    fn new(queue: Arc<AdmissionQueue>, ticket: Ticket) -> Self {
+    fn new(queue: Arc<AdmissionQueue>, ticket: Ticket, kind: u32) -> Self {
         let started = Instant::now();
-        Self { queue, ticket, started, first_byte_us: None, outcome: RunOutcome::Cancelled }
+        let duration = queue.lock_durations().start(u64::from(kind), queue.clock.now_us());
+        let outcome = RunOutcome::Cancelled;
+        Self { queue, ticket, duration, started, first_byte_us: None, outcome }
     }
 
     fn run_us(&self) -> u64 {
@@ -263,6 +284,12 @@
     fn drop(&mut self) {
         let run_us = self.run_us();
         let first_byte_us = self.first_byte_us.unwrap_or(run_us);
+        let end = match self.outcome {
+            RunOutcome::Answered | RunOutcome::CallRefused => CallEnd::Complete,
+            RunOutcome::Failed | RunOutcome::Cancelled => CallEnd::Incomplete,
+            RunOutcome::Rejected => CallEnd::NotRun,
+        };
+        self.queue.lock_durations().end(self.duration, end, self.queue.clock.now_us());
         self.queue.finish(self.ticket, &RunResult { run_us, first_byte_us, outcome: self.outcome });
     }
 }
--- a/crates/datapath/src/gate/gate_dependencies.rs
+++ b/crates/datapath/src/gate/gate_dependencies.rs
@@ -12,6 +12,7 @@
 use crate::datapath::Clock;
 use crate::datapath::DataPathSettings;
 use crate::datapath::Metrics;
+use crate::datapath::ServingState;
 use crate::interface::BackendInterface;
 use crate::quarantine::SharedLedger;
 
@@ -33,6 +34,8 @@
     pub backend: Arc<dyn LocalBackend>,
     /// Current catalogue of services.
     pub catalogue: watch::Receiver<Arc<Catalogue>>,
+    /// Whether the node accepts requests of callers, or stops.
+    pub serving: watch::Receiver<ServingState>,
     /// Key for the digests of callers and requests.
     pub key: DeploymentKey,
     /// Receiver of counters.
--- a/crates/datapath/src/gate/mod.rs
+++ b/crates/datapath/src/gate/mod.rs
@@ -17,6 +17,7 @@
 mod request_gate;
 mod response_body;
 mod retry_token_guard;
+mod run_checks;
 mod server_notices;
 mod silence_detection;
 mod spans;
--- a/crates/datapath/src/gate/request_gate.rs
+++ b/crates/datapath/src/gate/request_gate.rs
@@ -22,8 +22,6 @@
 use tarragon_policy::admission::AdmissionRequest;
 use tarragon_policy::admission::RunOutcome;
 use tarragon_policy::admission::WorkClass;
-use tarragon_policy::quarantine::RequestFingerprint;
-use tarragon_policy::quarantine::Suspicion;
 use tarragon_policy::retry::RetryPolicy;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -35,6 +33,7 @@
 use crate::datapath::Clock;
 use crate::datapath::DataPathSettings;
 use crate::datapath::Metrics;
+use crate::datapath::ServingState;
 use crate::gate::admission_queue::AdmissionQueue;
 use crate::gate::admission_queue::ExecutionSlot;
 use crate::gate::admission_queue::RequestCounts;
@@ -94,6 +93,7 @@
     pub(crate) crashes: Arc<SharedLedger>,
     crash_detector: Arc<CrashDetector>,
     catalogue: watch::Receiver<Arc<Catalogue>>,
+    pub(super) serving: watch::Receiver<ServingState>,
     pub(crate) interface: Arc<dyn BackendInterface>,
     failure_log: LogRateLimiter,
 }
@@ -103,7 +103,8 @@
     pub fn new(dependencies: GateDependencies) -> Self {
         let GateDependencies { settings, clock, admission, once, retry, backend, .. } =
             dependencies;
-        let GateDependencies { catalogue, key, metrics, interface, crashes, .. } = dependencies;
+        let GateDependencies { catalogue, serving, key, metrics, interface, crashes, .. } =
+            dependencies;
         let tracker = TaskTracker::new();
         let spans = Arc::<ActiveSpans>::default();
         let pool = BackendPool::new(
@@ -131,6 +132,7 @@
             crash_detector,
             crashes,
             catalogue,
+            serving,
             interface,
             failure_log: LogRateLimiter::new(clock, MAX_FAILURE_LOG_LINES_PER_S),
         }
@@ -246,6 +248,7 @@
         call: &GateCall,
     ) -> Result<AdmissionRequest, CallFailure> {
         self.ready_address(&call.service)?;
+        self.check_end_before_stop(call)?;
         self.check_quarantine(call.fingerprint)?;
         let deadline_left_us = crate::datapath::remaining_us(call.deadline);
         if deadline_left_us == 0 {
@@ -263,15 +266,6 @@
         })
     }
 
-    /// Fails if the request must not run because servers crashed each time they ran it.
-    fn check_quarantine(&self, fingerprint: Option<RequestFingerprint>) -> Result<(), CallFailure> {
-        let suspicion = fingerprint.map(|fingerprint| self.crashes.suspicion(fingerprint));
-        if suspicion == Some(Suspicion::Quarantined) {
-            return Err(Reason::Quarantined.into());
-        }
-        Ok(())
-    }
-
     /// Expected run time, in ms; 0 if the operation is not in this node's catalogue yet.
     fn expected_ms(&self, call: &GateCall) -> u64 {
         let catalogue = self.catalogue.borrow();
@@ -295,6 +289,8 @@
             attempt: call.attempt,
         };
         let address = self.ready_address(&call.service)?;
+        // The node may have begun to stop while this request waited for its slot.
+        self.check_end_before_stop(&call)?;
         let started_at_ms = self.status.borrow().started_at_ms;
         let request_tag = self.interface.correlation_tag(call.request.headers());
         let (mut request, is_upload_done) = self.backend_request(call, span.id(), address);
--- a/crates/datapath/tests/datapath/late_stop.rs
+++ b/crates/datapath/tests/datapath/late_stop.rs
@@ -1,4 +1,4 @@
-//! Calls that a backend server makes late in the stop of its node.
+//! Calls that a backend server makes late in the stop of its node, and requests for it early in the stop.
 
 use std::future::Future;
 use std::sync::Arc;
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use tarragon_datapath::datapath::ServingState;
+use tokio::sync::watch;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 
@@ -150,3 +151,44 @@
     let (reply, ()) = tokio::join!(slow, calls);
     assert_eq!(reply.outcome(), "answered", "the slow run itself was aborted");
 }
+
+/// Guards against requests of other nodes that are cut when the process is killed, because its gate took
+/// them at the beginning of the stop. Another server runs them.
+#[tokio::test]
+async fn requests_that_may_outlast_a_stopping_gate_run_elsewhere() {
+    let (mut cluster, leaving, server) = start_node(/* known_calls */ 0).await;
+    let ready = watch::Sender::new(ServingState::Ready);
+    let leaving_serving = std::mem::replace(&mut cluster.serving, ready);
+    let other_server = CallingBackend::start().await;
+    let other = cluster.start_node("other", Some(other_server.backend.address)).await;
+    wait_until_answered(&other).await;
+    leaving_serving.send_replace(ServingState::Closing { calls_end_at: Instant::now() + LEFT });
+    let before = server.backend.count();
+    for entry in [&other, &leaving] {
+        for _ in 0..KNOWN_CALLS {
+            let reply = request(entry.caller, "PUT", "/photo", &[], "").await;
+            assert_eq!(reply.outcome(), "answered");
+        }
+    }
+    assert_eq!(
+        server.backend.count(),
+        before,
+        "requests of an unknown kind ran at the leaving node"
+    );
+    assert!(leaving.metrics.read("gate.refused_before_stop") > 0);
+}
+
+/// Guards against a stopping gate that refuses what will end in time.
+#[tokio::test]
+async fn a_stopping_gate_runs_requests_that_end_in_time() {
+    let (cluster, node, server) = start_node(KNOWN_CALLS).await;
+    let stop_within = |left| ServingState::Closing { calls_end_at: Instant::now() + left };
+    cluster.serving.send_replace(stop_within(LEFT));
+    let before = server.backend.count();
+    assert_eq!(request(node.caller, "GET", "/", &[], "").await.outcome(), "answered");
+    // An unknown kind runs where its deadline comes before the end of the process.
+    cluster.serving.send_replace(stop_within(Duration::from_secs(3_600)));
+    assert_eq!(request(node.caller, "PUT", "/photo", &[], "").await.outcome(), "answered");
+    assert_eq!(server.backend.count(), before + 2);
+    assert_eq!(node.metrics.read("gate.refused_before_stop"), 0);
+}
--- a/crates/node/src/app/node.rs
+++ b/crates/node/src/app/node.rs
@@ -337,7 +337,7 @@
             }
             info!("drain: stop requested");
             let calls_end_at = Instant::now() + calls_period;
-            self.serving.send_replace(ServingState::Closing);
+            self.serving.send_replace(ServingState::Closing { calls_end_at: calls_end_at.into() });
             // Callers take longer to switch to another node than peers do. The backend server does
             // not stop with the node, so it keeps serving requests from peers until the shorter
             // notice to peers begins.
--- a/crates/policy/src/stop/call_durations.rs
+++ b/crates/policy/src/stop/call_durations.rs
@@ -29,7 +29,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct CallTicket(u64);
 
-/// Longest durations of the calls that a node makes, by kind of call.
+/// Longest durations of the calls that a node makes or of the requests that it runs, by kind.
 ///
 /// A node that stops takes a call only if it will be answered before the process is killed.
 /// A mean would not do: half of the calls take longer than a typical one. Calls that are still in
