Test an upload that comes late in a stop

The test passes on this code; without the check of the node it fails at its counter, as the gate of the same node refuses the upload instead.

--- a/crates/datapath/tests/datapath/late_stop.rs
+++ b/crates/datapath/tests/datapath/late_stop.rs
@@ -24,6 +24,9 @@
 /// Number of calls after which the node knows how long calls of a kind take.
 const KNOWN_CALLS: usize = 20;
 
+/// Size of an upload, more than a node buffers for retries.
+const UPLOAD_BYTES: usize = 300_000;
+
 /// Backend server whose run of a POST request waits for a permit, and whose GET and PUT requests
 /// end at once or, with `/slow` in their path, only after a long time.
 struct CallingBackend {
@@ -117,6 +120,26 @@
     .await;
 }
 
+/// Guards against an upload that is passed on late in a stop, and against one whose refusal does not arrive
+/// since its body is not read.
+#[tokio::test]
+async fn a_stopping_node_refuses_an_upload_that_may_outlast_it() {
+    let (cluster, node, server) = start_node(/* known_calls */ 0).await;
+    during_run(&node, &server, async {
+        cluster.serving.send_replace(stop_within(LEFT));
+        let headers = server.call_headers();
+        let headers: Vec<(&str, &str)> =
+            headers.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
+        let before = server.backend.count();
+        let body = "x".repeat(UPLOAD_BYTES);
+        let reply = request(node.exit, "PUT", "/photo", &headers, body).await;
+        assert_eq!((reply.outcome(), reply.reason()), ("not-run", "draining"));
+        assert_eq!(server.backend.count(), before);
+        assert_eq!(node.metrics.read("entry.refused_before_stop"), 1);
+    })
+    .await;
+}
+
 /// Guards against refusing every call: those that are known to be short, and those that expire in
 /// time, are answered.
 #[tokio::test]
