--- a/crates/tarragond/tests/processes/main.rs
+++ b/crates/tarragond/tests/processes/main.rs
@@ -5,6 +5,7 @@
 #![allow(clippy::unwrap_used, reason = "helpers of tests may panic like the tests themselves")]
 
 mod endless_bytes;
+mod endless_peer;
 mod idempotency_keys;
 mod leader_loss;
 mod lost_disk;
