Tell members at once that a change of members is committed

What operators would see: a core host is removed for good and replaced; the leader removes its voter and is lost for good less than 200 ms later. Two of three voters are left, but the log elects no leader any more.

Cause: until the others know that the removal is committed, they need a quorum of the voters of before. The leader told them with the next entry or heartbeat.

The test the_leader_may_be_lost_a_network_delay_after_a_removal fails before ("no progress within 3000 ms").

Change: the leader sends a heartbeat when a change of members is committed.

--- a/crates/consensus/src/raft/replication.rs
+++ b/crates/consensus/src/raft/replication.rs
@@ -242,11 +242,16 @@
     }
 
     /// Passes committed commands to the state machine and completes committed membership changes.
+    ///
+    /// A leader tells the members of a committed change at once: until they know, they may need voters
+    /// of before to elect a leader (see `docs/design.md`, section 5.2.1).
     pub(super) fn apply_committed(&mut self) {
+        let mut is_change_committed = false;
         while self.applied_index < self.commit_index {
             let index = self.applied_index + 1;
             let Some(entry) = self.log.entry(index) else { return };
             let payload = entry.payload.clone();
+            is_change_committed |= matches!(payload, EntryPayload::Members(_));
             self.applied_bytes += entry.size_bytes();
             self.applied_index = index;
             let request = match &mut self.role {
@@ -263,6 +268,9 @@
                 _ => {}
             }
         }
+        if is_change_committed {
+            self.send_heartbeats();
+        }
     }
 }
 
--- a/crates/consensus/tests/replica/losses.rs
+++ b/crates/consensus/tests/replica/losses.rs
@@ -283,3 +283,35 @@
     }
     check_property(115, 50, property as fn(u64) -> Result<(), String>);
 }
+
+/// Guards against a log that stops when the leader is lost for good after it has committed the removal of a
+/// host that is gone: the others need that host until they know of the commit, which takes one message.
+#[test]
+fn the_leader_may_be_lost_a_network_delay_after_a_removal() {
+    fn property(seed: u64) -> Result<(), String> {
+        let voters = 3 + 2 * (seed % 2) as usize;
+        let mut sim = Sim::new(seed, voters, 1, settings(), ledger());
+        sim.wait_for_progress(LIMIT_MS)?;
+        for _ in 0..10 {
+            repair_members(&mut sim)?;
+            sim.run(ELECTION_MS)?;
+        }
+        let leader = sim.leader().ok_or("no leader")?;
+        sim.remove_host((leader + 1) % voters);
+        sim.run(3 * ELECTION_MS)?;
+        for _ in 0..2_000 {
+            let status = sim.status(leader).ok_or("the leader runs")?;
+            if status.configuration.voters.len() == voters
+                && status.previous_configuration.is_none()
+            {
+                break;
+            }
+            repair_members(&mut sim)?;
+            sim.run(1)?;
+        }
+        sim.run(sim.max_delay_ms + 1)?;
+        sim.remove_host(leader);
+        sim.wait_for_progress(LIMIT_MS)
+    }
+    check_property(116, 100, property as fn(u64) -> Result<(), String>);
+}
