--- a/crates/consensus/src/raft/replication.rs
+++ b/crates/consensus/src/raft/replication.rs
@@ -243,8 +243,8 @@
 
     /// Passes committed commands to the state machine and completes committed membership changes.
     ///
-    /// A leader tells the members of a committed change at once: until they know, they may need voters
-    /// of before to elect a leader (see `docs/design.md`, section 5.2.1).
+    /// A leader announces a committed membership change at once: until the members know of it, an
+    /// election may need former voters, which may be gone (see `docs/design.md`, section 5.2.1).
     pub(super) fn apply_committed(&mut self) {
         let mut is_change_committed = false;
         while self.applied_index < self.commit_index {
--- a/crates/control/src/control/api/large_bodies.rs
+++ b/crates/control/src/control/api/large_bodies.rs
@@ -16,15 +16,14 @@
 /// Number of bytes of a body that are read at once. Most requests between nodes are smaller.
 const MAX_SMALL_BODY_BYTES: usize = 64 << 10;
 
-/// Maximum number of bodies of which more is read at the same time. Each is kept whole in memory, before
-/// its sender is authenticated in the case of a node.
+/// Maximum number of bodies of which more is read at the same time. Each is kept whole in memory; those
+/// of other nodes are authenticated only after that.
 const MAX_LARGE_BODIES: usize = 4;
 
-/// Time after which a body that may not be read further is refused. The connections that wait keep some
-/// hundred KiB each.
+/// Maximum wait for a permit. Each waiting connection keeps some hundred KiB in its buffers.
 const PERMIT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time limit for reading a body, so that one that never ends keeps out no others.
+/// Time limit for reading a body, so that an unfinished one does not block others.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Reads the request bodies of the endpoints whose requests may be large.
--- a/crates/control/src/departures/departure_service.rs
+++ b/crates/control/src/departures/departure_service.rs
@@ -59,8 +59,8 @@
 /// Pause between two rounds of requests to hold a departure.
 const HOLD_PAUSE: Duration = Duration::from_millis(100);
 
-/// Pause between two rounds of requests of a process that starts, unless other holders become known
-/// meanwhile. It is longer than fetching the list of members takes.
+/// Pause between two rounds of requests of a process that starts, unless its holders change meanwhile.
+/// It is longer than fetching the list of members takes.
 const FIND_PAUSE: Duration = Duration::from_millis(50);
 
 /// Time after the first response to a new process, after which holders that do not respond are not
@@ -250,8 +250,8 @@
         self.dependencies.announcements.release(&found);
     }
 
-    /// Takes over the last order that an earlier process was given. One that this process was given
-    /// meanwhile comes later, whatever the clocks say.
+    /// Takes over the last order that an earlier process was given. An order to this process takes
+    /// precedence, even if the clock has been set back since.
     fn adopt_drain(&self, found: OperatorDrain) {
         let mut drain = self.lock_drain();
         if drain.changed_at_ms > 0 {
@@ -281,7 +281,7 @@
         self.drain.lock().expect("no thread panics while it holds the lock")
     }
 
-    /// Waits until the holders are other ones than these, for a limited time.
+    /// Waits until the holders differ from these, for at most [`FIND_PAUSE`].
     async fn wait_for_other_holders(&self, holders: &BTreeSet<SocketAddr>) {
         let mut members = self.dependencies.directory.members();
         let change = async {
--- a/crates/control/src/departures/mod.rs
+++ b/crates/control/src/departures/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! A node that acknowledges a departure promises that the server gets no more requests; so it does for
 //! a drain, until operators end it. A node without a disk forgets the promise when its process ends,
-//! so other nodes hold it before it is given, and tell it to the next process of the node. See `docs/design.md`, section 5.4.1.
+//! so other nodes hold it before it is given, and tell it to the next process of the node. See
+//! `docs/design.md`, section 5.4.1.
 
 mod departure_request;
 mod departure_service;
--- a/crates/control/src/replica/frame_reader.rs
+++ b/crates/control/src/replica/frame_reader.rs
@@ -10,7 +10,7 @@
 /// Time without a message after which a connection is given up.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Time limit for reading a frame after its length, so that one that never ends keeps out no others.
+/// Time limit for reading a frame after its length, so that an unfinished one does not block others.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Maximum size of a frame that is read at once, in bytes. Heartbeats and most entries are smaller.
--- a/crates/datapath/src/gate/run_checks.rs
+++ b/crates/datapath/src/gate/run_checks.rs
@@ -21,8 +21,8 @@
         Ok(())
     }
 
-    /// Refuses a call that may still run when the process is killed at the end of its stop. Another server
-    /// can run it, while its response would be lost here.
+    /// Refuses a call that may still run when the process is killed at the end of its stop. Its response
+    /// would be lost, while another server can run it now.
     pub(super) fn check_end_before_stop(&self, call: &GateCall) -> Result<(), CallFailure> {
         let runs_end_at = match *self.serving.borrow() {
             ServingState::NotReady | ServingState::Ready => return Ok(()),
