Have the test of a lost leader check its own setup

The test went on if the successor did not vote or the removal was never committed, and could then have passed without playing its case. Both are errors now, so it is stricter; the setup it shares with the loss of a disk stands once.

--- a/crates/consensus/tests/replica/losses.rs
+++ b/crates/consensus/tests/replica/losses.rs
@@ -60,11 +60,8 @@
     sim.change_members(leader, change)
 }
 
-/// Plays the replacement of a host: its successor votes, then it is removed for good, and another
-/// host loses its disk at a random moment after it.
-fn lose_disk_after_replacement(seed: u64, is_loss_of_leader: Option<bool>) -> Result<(), String> {
-    let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let voters = 3 + 2 * rng.random_range(0..2);
+/// Starts replicas and lets the successor of one of them vote beside it.
+fn start_with_successor(seed: u64, voters: usize) -> Result<Sim, String> {
     let mut sim = Sim::new(seed, voters, 1, settings(), ledger());
     sim.wait_for_progress(LIMIT_MS)?;
     for _ in 0..10 {
@@ -76,6 +73,16 @@
     if voters_now != voters + 1 {
         return Err(format!("the successor does not vote: {voters_now} voters"));
     }
+    Ok(sim)
+}
+
+/// Plays the replacement of a host: its successor votes, then it is removed for good, and another
+/// host loses its disk at a random moment after it.
+fn lose_disk_after_replacement(seed: u64, is_loss_of_leader: Option<bool>) -> Result<(), String> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let voters = 3 + 2 * rng.random_range(0..2);
+    let mut sim = start_with_successor(seed, voters)?;
+    let leader = sim.leader().ok_or("no leader")?;
     // The removed host may be the leader, and the loss may hit any other, the successor as well.
     let removed = if rng.random_bool(0.5) { leader } else { rng.random_range(0..=voters) };
     sim.remove_host(removed);
@@ -290,25 +297,26 @@
 fn the_leader_may_be_lost_a_network_delay_after_a_removal() {
     fn property(seed: u64) -> Result<(), String> {
         let voters = 3 + 2 * (seed % 2) as usize;
-        let mut sim = Sim::new(seed, voters, 1, settings(), ledger());
-        sim.wait_for_progress(LIMIT_MS)?;
-        for _ in 0..10 {
-            repair_members(&mut sim)?;
-            sim.run(ELECTION_MS)?;
-        }
+        let mut sim = start_with_successor(seed, voters)?;
         let leader = sim.leader().ok_or("no leader")?;
         sim.remove_host((leader + 1) % voters);
         sim.run(3 * ELECTION_MS)?;
+        let is_removed = |sim: &Sim| {
+            sim.status(leader).is_some_and(|status| {
+                status.configuration.voters.len() == voters
+                    && status.previous_configuration.is_none()
+            })
+        };
         for _ in 0..2_000 {
-            let status = sim.status(leader).ok_or("the leader runs")?;
-            if status.configuration.voters.len() == voters
-                && status.previous_configuration.is_none()
-            {
+            if is_removed(&sim) {
                 break;
             }
             repair_members(&mut sim)?;
             sim.run(1)?;
         }
+        if !is_removed(&sim) {
+            return Err("the removal is not committed".into());
+        }
         sim.run(sim.max_delay_ms + 1)?;
         sim.remove_host(leader);
         sim.wait_for_progress(LIMIT_MS)
