--- a/crates/tarragond/tests/processes/endless_bytes.rs
+++ b/crates/tarragond/tests/processes/endless_bytes.rs
@@ -14,11 +14,15 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
+use crate::support::http2_frame;
 use crate::support::peak_memory_kib;
 use crate::support::wait_until;
 use crate::support::CallerRequest;
 use crate::support::Cluster;
 use crate::support::Daemon;
+use crate::support::HTTP2_CONTINUATION;
+use crate::support::HTTP2_HEADERS;
+use crate::support::HTTP2_SETTINGS;
 use crate::support::MAX_MEMORY_KIB;
 
 /// Number of connections on which bytes without end are sent at the same time.
@@ -88,19 +92,13 @@
 
 /// HTTP/2 connection that opens a stream, and a continuation of its head that is repeated.
 fn endless_http2_head() -> (Vec<u8>, Vec<u8>) {
-    let frame = |kind: u8, stream: u8, payload: &[u8]| {
-        let length = u32::try_from(payload.len()).unwrap().to_be_bytes();
-        let mut frame = vec![length[1], length[2], length[3], kind, 0, 0, 0, 0, stream];
-        frame.extend_from_slice(payload);
-        frame
-    };
     // Literal field without indexing: name "a", value "b".
     let field = [0x00, 1, b'a', 1, b'b'];
     let fields: Vec<u8> = field.iter().copied().cycle().take(field.len() * 2_000).collect();
     let mut beginning = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec();
-    beginning.extend(frame(4, 0, &[]));
-    beginning.extend(frame(1, 1, &field));
-    (beginning, frame(9, 1, &fields))
+    beginning.extend(http2_frame(HTTP2_SETTINGS, 0, 0, &[]));
+    beginning.extend(http2_frame(HTTP2_HEADERS, 0, 1, &field));
+    (beginning, http2_frame(HTTP2_CONTINUATION, 0, 1, &fields))
 }
 
 /// Backend server that answers at once, and for a path `/endless/NAME` as [`ANSWERS`] says.
--- a/crates/tarragond/tests/processes/endless_peer.rs
+++ b/crates/tarragond/tests/processes/endless_peer.rs
@@ -16,11 +16,17 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use crate::support::http2_frame;
 use crate::support::peak_memory_kib;
 use crate::support::wait_until;
 use crate::support::CallerRequest;
 use crate::support::Cluster;
 use crate::support::FakeBackend;
+use crate::support::HTTP2_CONTINUATION;
+use crate::support::HTTP2_DATA;
+use crate::support::HTTP2_HEADERS;
+use crate::support::HTTP2_PING;
+use crate::support::HTTP2_SETTINGS;
 use crate::support::MAX_MEMORY_KIB;
 
 /// Time for which the peer answers in one way.
@@ -29,12 +35,7 @@
 /// Time in which a node has sent the beginning of its connection and a request.
 const REQUEST_TIME: Duration = Duration::from_millis(50);
 
-/// Types of HTTP/2 frames (RFC 9113, section 6).
-const DATA: u8 = 0;
-const HEADERS: u8 = 1;
-const SETTINGS: u8 = 4;
-const PING: u8 = 6;
-const CONTINUATION: u8 = 9;
+/// Type of a frame that HTTP/2 does not define; it is ignored (RFC 9113, section 5.5).
 const UNKNOWN: u8 = 0x77;
 
 /// Flag by which a head ends.
@@ -45,30 +46,31 @@
 const EARLY_HINTS: [u8; 5] = [0x08, 3, b'1', b'0', b'3'];
 const FIELD: [u8; 5] = [0x00, 1, b'a', 1, b'b'];
 
-fn frame(kind: u8, flags: u8, stream: u8, payload: &[u8]) -> Vec<u8> {
-    let length = u32::try_from(payload.len()).unwrap().to_be_bytes();
-    let mut frame = vec![length[1], length[2], length[3], kind, flags, 0, 0, 0, stream];
-    frame.extend_from_slice(payload);
-    frame
-}
-
 /// What the peer sends: a name, a beginning, and bytes that are repeated without end.
 fn answers() -> Vec<(&'static str, Vec<u8>, Vec<u8>)> {
-    let settings = frame(SETTINGS, 0, 0, &[]);
+    let settings = http2_frame(HTTP2_SETTINGS, 0, 0, &[]);
     let begin = |rest: Vec<u8>| [settings.clone(), rest].concat();
-    let head = frame(HEADERS, END_HEADERS, 1, &OK);
+    let head = http2_frame(HTTP2_HEADERS, END_HEADERS, 1, &OK);
     let filler = FIELD.repeat(2_000);
     vec![
         ("no-http2", Vec::new(), b"no answer at all".to_vec()),
         ("http1-body", b"HTTP/1.1 200 OK\r\n\r\n".to_vec(), b"body".to_vec()),
-        ("continuation", begin(frame(HEADERS, 0, 1, &OK)), frame(CONTINUATION, 0, 1, &filler)),
-        ("empty-continuation", begin(frame(HEADERS, 0, 1, &OK)), frame(CONTINUATION, 0, 1, &[])),
-        ("interim", settings.clone(), frame(HEADERS, END_HEADERS, 1, &EARLY_HINTS)),
-        ("data", begin(head.clone()), frame(DATA, 0, 1, &filler)),
-        ("empty-data", begin(head), frame(DATA, 0, 1, &[])),
+        (
+            "continuation",
+            begin(http2_frame(HTTP2_HEADERS, 0, 1, &OK)),
+            http2_frame(HTTP2_CONTINUATION, 0, 1, &filler),
+        ),
+        (
+            "empty-continuation",
+            begin(http2_frame(HTTP2_HEADERS, 0, 1, &OK)),
+            http2_frame(HTTP2_CONTINUATION, 0, 1, &[]),
+        ),
+        ("interim", settings.clone(), http2_frame(HTTP2_HEADERS, END_HEADERS, 1, &EARLY_HINTS)),
+        ("data", begin(head.clone()), http2_frame(HTTP2_DATA, 0, 1, &filler)),
+        ("empty-data", begin(head), http2_frame(HTTP2_DATA, 0, 1, &[])),
         ("settings", settings.clone(), settings.clone()),
-        ("ping", settings.clone(), frame(PING, 0, 0, &[7; 8])),
-        ("unknown", settings, frame(UNKNOWN, 0, 0, &filler)),
+        ("ping", settings.clone(), http2_frame(HTTP2_PING, 0, 0, &[7; 8])),
+        ("unknown", settings, http2_frame(UNKNOWN, 0, 0, &filler)),
     ]
 }
 
