Await the answers of peers that are only silent

After a pause of the host beside the backend server, answers of requests that had run once were cut off, or became 502.

Cause: a silence of a connection between nodes was taken for its loss, by the bodies of answers, by the wait for a run that had begun (one heartbeat timeout), and by idempotent uploads that cannot be sent again. Beside it, a peer that takes no new requests (GOAWAY) lost the answers in flight, as the end of the HTTP/2 client's task was taken for the end of the connection.

Only the end of the connection, the deadline and the limit of the route end such exchanges. `closed` is told by the socket itself.

--- a/crates/datapath/src/entry/forwarder.rs
+++ b/crates/datapath/src/entry/forwarder.rs
@@ -365,7 +365,11 @@
             }
             gate_response
         } else {
-            let sent = dependencies.peers.call(target, gate_call, call.class, !call.is_idempotent);
+            let can_run_again = || call.is_idempotent && call.body.is_replayable();
+            let peers = &dependencies.peers;
+            let needs_recent_response = !call.is_idempotent;
+            let sent =
+                peers.call(target, gate_call, call.class, needs_recent_response, &can_run_again);
             match sent.await {
                 Ok(gate_response) => gate_response,
                 Err(e) => {
@@ -424,7 +428,6 @@
                 self.retry().return_tokens(call.ledger_span, tokens);
                 Reason::Fenced.into()
             }
-            PeerCallError::Started => Reason::ConnectionLost.into(),
             PeerCallError::ConnectionLost if call.is_idempotent => Reason::ConnectionLost.into(),
             PeerCallError::ConnectionLost => {
                 let key = call.attempt_key(attempt);
--- a/crates/datapath/src/peer/gate_reply.rs
+++ b/crates/datapath/src/peer/gate_reply.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Instant;
 
 use http::HeaderMap;
 use http::HeaderName;
@@ -26,10 +27,12 @@
     map.get(headers::OUTCOME)?.to_str().ok()?.parse().ok()
 }
 
-/// Converts the HTTP response of a peer to the result of its gate.
+/// Converts the HTTP response of a peer to the result of its gate. Of its body nothing is expected after
+/// `last_wait`.
 pub(super) fn read_gate_response(
     response: Response<Incoming>,
     connection: Arc<PeerConnection>,
+    last_wait: Instant,
 ) -> GateResponse {
     let advice = parse_advice(&response);
     let (mut parts, incoming) = response.into_parts();
@@ -44,7 +47,8 @@
         (Some(Outcome::Answered), _) => {
             strip_hop_headers(&mut parts.headers);
             strip_tarragon_headers(&mut parts.headers);
-            Ok(Response::from_parts(parts, PeerBody::new(incoming, connection).boxed_unsync()))
+            let body = PeerBody::new(incoming, connection, last_wait);
+            Ok(Response::from_parts(parts, body.boxed_unsync()))
         }
         (Some(_), Some(reason)) => {
             let retry_after_ms = parse_number(&parts.headers, headers::RETRY_AFTER_MS).unwrap_or(0);
--- a/crates/datapath/src/peer/managed_connection.rs
+++ b/crates/datapath/src/peer/managed_connection.rs
@@ -51,6 +51,8 @@
     Failed,
     /// The connection has lost its path. The new one has answered.
     Replaced(Arc<PeerConnection>),
+    /// The peer takes no new requests on the connection, and answers those in flight.
+    Finished,
 }
 
 /// How a heartbeat ended.
@@ -97,7 +99,7 @@
         loop {
             let current_status = status.borrow_and_update().clone();
             match current_status {
-                ConnectionStatus::Connected(connection) if !connection.silent.is_cancelled() => {
+                ConnectionStatus::Connected(connection) if connection.takes_calls() => {
                     return Some(connection)
                 }
                 ConnectionStatus::Connected(_) | ConnectionStatus::Connecting => {}
@@ -145,7 +147,9 @@
                         self.status.send_replace(ConnectionStatus::Connected(Arc::clone(next)));
                         connection.retire();
                     }
-                    connection.silent.cancel();
+                    if !matches!(end_reason, EndReason::Finished) {
+                        connection.silent.cancel();
+                    }
                     end_reason
                 }
                 Err(e) => {
@@ -176,7 +180,7 @@
                     replacement = Some(connection);
                     continue;
                 }
-                EndReason::Failed => {}
+                EndReason::Failed | EndReason::Finished => {}
             }
             let is_unreachable = matches!(*self.status.borrow(), ConnectionStatus::Unreachable);
             if !is_unreachable {
@@ -239,6 +243,7 @@
             tokio::select! {
                 () = shared.stop.cancelled() => return EndReason::Stopped,
                 () = connection.silent.cancelled() => return EndReason::Failed,
+                () = connection.finished.cancelled() => return EndReason::Finished,
                 () = tokio::time::sleep(interval / 2) => {}
             }
             // This task and the status hold two references; any other belongs to a call in flight.
@@ -262,9 +267,11 @@
                     shared.advise(peer, &advice);
                     shared.set_state(peer.instance, PeerState::Proven);
                 }
+                HeartbeatEnd::Failed(_) if connection.finished.is_cancelled() => {
+                    return EndReason::Finished;
+                }
                 HeartbeatEnd::Failed(e) => {
                     debug!("route: heartbeat to {} failed: {e}", peer.instance);
-                    connection.closed.cancel();
                     return EndReason::Failed;
                 }
                 // Another response on the connection shows that it works.
--- a/crates/datapath/src/peer/peer_connection.rs
+++ b/crates/datapath/src/peer/peer_connection.rs
@@ -12,7 +12,6 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http2;
 use hyper::client::conn::http2::SendRequest;
-use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use tarragon_model::call::headers;
 use tarragon_model::identity::InstanceId;
@@ -34,17 +33,21 @@
 use crate::peer::STREAM_WINDOW_BYTES;
 use crate::transport::empty;
 use crate::transport::Body;
+use crate::transport::GuardedIo;
 use crate::transport::TrackedExecutor;
 
 /// HTTP/2 connection to a peer.
 pub(crate) struct PeerConnection {
     pub(crate) sender: SendRequest<Body>,
-    /// Cancelled when the connection has failed, or to close it.
+    /// Cancelled when the connection has failed, or to close it. Responses in flight are lost.
     pub(crate) closed: CancellationToken,
     /// Cancelled when the peer does not answer on the connection in time, and when it is closed. No
-    /// new call uses the connection then. Calls in flight that may run only once keep it open, since
-    /// a peer that was only paused still answers them.
+    /// new call uses the connection then. Calls in flight that cannot run again and responses that have
+    /// begun keep it open, since a peer that was only paused still sends them.
     pub(crate) silent: CancellationToken,
+    /// Cancelled when the peer takes no new requests on the connection, because it stops. It still
+    /// answers those in flight.
+    pub(crate) finished: CancellationToken,
     /// Whether a new connection to the peer answered while this one did not.
     is_overtaken: AtomicBool,
     address: SocketAddr,
@@ -67,6 +70,7 @@
         // Without this, the operating system continues to send the rest of a request for minutes
         // after the connection was closed, and the request could run long after it was fenced.
         stream.set_zero_linger().map_err(|e| e.to_string())?;
+        let closed = CancellationToken::new();
         let (sender, connection) = http2::Builder::new(TrackedExecutor(tracker.clone()))
             .timer(TokioTimer::new())
             .initial_stream_window_size(STREAM_WINDOW_BYTES)
@@ -75,12 +79,12 @@
             .max_header_list_size(MAX_RESPONSE_HEADER_BYTES)
             .max_concurrent_reset_streams(MAX_RESET_STREAMS)
             .max_local_error_reset_streams(None)
-            .handshake(TokioIo::new(stream))
+            .handshake(GuardedIo::new(stream, closed.clone()))
             .await
             .map_err(|e| e.to_string())?;
-        let closed = CancellationToken::new();
         let silent = closed.child_token();
-        let task_closed = closed.clone();
+        let finished = closed.child_token();
+        let (task_closed, task_finished) = (closed.clone(), finished.clone());
         tracker.spawn(async move {
             tokio::select! {
                 () = task_closed.cancelled() => {}
@@ -88,7 +92,7 @@
                     debug!("route: connection to {address} failed: {e}");
                 },
             }
-            task_closed.cancel();
+            task_finished.cancel();
         });
         let last_response_us = AtomicU64::new(0);
         let is_overtaken = AtomicBool::new(false);
@@ -96,6 +100,7 @@
             sender,
             closed,
             silent,
+            finished,
             is_overtaken,
             address,
             instance,
@@ -104,6 +109,11 @@
         })
     }
 
+    /// Whether new calls can use the connection.
+    pub(crate) fn takes_calls(&self) -> bool {
+        !self.silent.is_cancelled() && !self.finished.is_cancelled()
+    }
+
     /// Ends the use of the connection, because a new one to the peer answered and this one did not.
     pub(crate) fn retire(&self) {
         self.is_overtaken.store(true, Ordering::Relaxed);
--- a/crates/datapath/src/peer/peer_pool.rs
+++ b/crates/datapath/src/peer/peer_pool.rs
@@ -58,8 +58,6 @@
     /// The connection became silent, and the peer has fenced the request: it did not run and never
     /// will.
     Fenced,
-    /// The connection became silent, and the peer has started the request. Its response is lost.
-    Started,
     /// The deadline passed after the request was sent.
     DeadlinePassed,
 }
@@ -192,7 +190,8 @@
         self.peers.read().expect("no thread panics while it holds the lock").get(&target).cloned()
     }
 
-    /// Sends a call to the gate of a peer and waits for the head of the response.
+    /// Sends a call to the gate of a peer and waits for the head of the response. If the connection
+    /// becomes silent meanwhile, the call is given up only if `can_run_again` says so.
     ///
     /// # Errors
     /// `Unsent` if no byte of the request was sent; with the other errors the request may have
@@ -203,6 +202,7 @@
         mut call: GateCall,
         class: WorkClass,
         needs_recent_response: bool,
+        can_run_again: &(dyn Fn() -> bool + Sync),
     ) -> Result<GateResponse, PeerCallError> {
         let peer = self.find(target).ok_or(PeerCallError::Unsent)?;
         call.known_notice = self.shared.notices.find(&peer.node);
@@ -217,18 +217,22 @@
         // At the deadline the gate itself ends the call and reports whether it ran, so the node
         // waits a little longer for that response.
         let grace = Duration::from_millis(self.shared.settings.response_grace_ms);
+        let last_wait = deadline + grace;
         let mut sender = connection.sender.clone();
         let mut pending = PendingResponse {
             response: Box::pin(sender.try_send_request(request)),
             closed: connection.closed.clone(),
-            last_wait: deadline + grace,
+            last_wait,
         };
-        let response = tokio::select! {
+        let answered = tokio::select! {
             biased;
-            response = pending.wait() => response?,
-            () = connection.silent.cancelled(), if !needs_recent_response => {
-                // An idempotent request runs elsewhere instead, within the retry ratio if it may
-                // have run.
+            response = pending.wait() => Some(response?),
+            () = connection.silent.cancelled() => None,
+        };
+        let response = match answered {
+            Some(response) => response,
+            None if can_run_again() => {
+                // The request runs elsewhere instead, within the retry ratio if it may have run.
                 let is_fenced = connection.is_overtaken()
                     && self.fence_soon(target, class, attempt_key, deadline).await;
                 return Err(if is_fenced {
@@ -237,7 +241,7 @@
                     PeerCallError::ConnectionLost
                 });
             }
-            () = connection.silent.cancelled() => {
+            None => {
                 self.wait_on_silent_connection(&mut pending, target, class, attempt_key, deadline)
                     .await?
             }
@@ -255,7 +259,7 @@
             return Err(PeerCallError::ConnectionLost);
         }
         self.shared.crashes.read(response.headers());
-        let gate_response = read_gate_response(response, connection);
+        let gate_response = read_gate_response(response, connection, last_wait);
         if let Some(advice) = &gate_response.advice {
             self.shared.advise(&peer, advice);
         }
@@ -265,9 +269,10 @@
         Ok(gate_response)
     }
 
-    /// Waits for the response to a request that may run only once, after its connection became
-    /// silent. The peer may only be paused, and answers it later; or the connection has lost its
-    /// path. The peer is asked over a new connection which of both is the case.
+    /// Waits for the response to a request that cannot run again, after its connection became silent.
+    /// The peer may only be paused, and answers it later; or the connection has lost its path. The peer
+    /// is asked over a new connection to fence the request. If it has begun to run, or the peer does not
+    /// answer, the response can still arrive until the deadline: the two cases look the same.
     async fn wait_on_silent_connection(
         &self,
         pending: &mut PendingResponse<'_>,
@@ -276,22 +281,15 @@
         attempt: AttemptKey,
         deadline: Instant,
     ) -> Result<SendResult, PeerCallError> {
-        let answer = tokio::select! {
+        let is_fenced = tokio::select! {
             biased;
             response = pending.wait() => return response,
-            answer = self.request_fence(target, class, attempt, deadline) => answer,
+            is_fenced = self.fence(target, class, attempt, deadline) => is_fenced,
         };
-        match answer {
-            Some(true) => Err(PeerCallError::Fenced),
-            Some(false) => {
-                let limit = Duration::from_millis(self.shared.settings.heartbeat_timeout_ms);
-                match tokio::time::timeout(limit, pending.wait()).await {
-                    Ok(response) => response,
-                    Err(_) => Err(PeerCallError::Started),
-                }
-            }
-            None => pending.wait().await,
+        if is_fenced {
+            return Err(PeerCallError::Fenced);
         }
+        pending.wait().await
     }
 
     /// Returns a connection. If `needs_recent_response` is set, the peer has responded on it within
@@ -364,7 +362,8 @@
         Request::from_parts(parts, body)
     }
 
-    /// Requests a gate to fence an attempt. Returns true if the attempt did not run and never will.
+    /// Requests a gate to fence an attempt. Returns true if the attempt did not run and never will;
+    /// false if it may have begun, or if the gate does not answer.
     pub async fn fence(
         &self,
         target: InstanceId,
@@ -372,37 +371,12 @@
         attempt: AttemptKey,
         deadline: Instant,
     ) -> bool {
-        self.request_fence(target, class, attempt, deadline).await == Some(true)
-    }
-
-    /// Does the same as [`Self::fence`] for an idempotent request, which can run elsewhere if the
-    /// gate does not answer soon.
-    async fn fence_soon(
-        &self,
-        target: InstanceId,
-        class: WorkClass,
-        attempt: AttemptKey,
-        deadline: Instant,
-    ) -> bool {
-        let limit = Duration::from_millis(self.shared.settings.suspect_after_ms);
-        let fencing = self.fence(target, class, attempt, deadline);
-        tokio::time::timeout(limit, fencing).await.unwrap_or(false)
-    }
-
-    /// Requests a gate to fence an attempt. Returns whether the attempt is fenced, or `None` if the
-    /// gate does not answer.
-    async fn request_fence(
-        &self,
-        target: InstanceId,
-        class: WorkClass,
-        attempt: AttemptKey,
-        deadline: Instant,
-    ) -> Option<bool> {
         // The caller waits for the outcome no longer than until its deadline.
         let limit = Instant::now() + Duration::from_millis(self.shared.settings.fence_timeout_ms);
         let limit = limit.min(deadline);
-        let peer = self.find(target)?;
-        let connection = peer.connection_for(class).acquire(&peer, &self.shared, limit).await?;
+        let Some(peer) = self.find(target) else { return false };
+        let connection = peer.connection_for(class).acquire(&peer, &self.shared, limit).await;
+        let Some(connection) = connection else { return false };
         let left_ms = crate::datapath::remaining_us(deadline) / 1_000;
         let mut request = connection.request(Method::POST, FENCE_PATH, empty());
         let map = request.headers_mut();
@@ -415,11 +389,32 @@
         self.shared.auth.sign(&Method::POST, FENCE_PATH, map);
         let sending = connection.send_control(request);
         match tokio::time::timeout_at(limit.into(), sending).await {
-            Ok(Ok(response)) => Some(parse_outcome(response.headers()) == Some(Outcome::NotRun)),
-            _ => None,
+            Ok(Ok(response)) => parse_outcome(response.headers()) == Some(Outcome::NotRun),
+            Ok(Err(e)) => {
+                debug!("route: {target} was not told to fence an attempt: {e}");
+                false
+            }
+            Err(_) => {
+                debug!("route: {target} did not answer a fence in time");
+                false
+            }
         }
     }
 
+    /// Does the same as [`Self::fence`] for a request that can run elsewhere if the gate does not
+    /// answer soon.
+    async fn fence_soon(
+        &self,
+        target: InstanceId,
+        class: WorkClass,
+        attempt: AttemptKey,
+        deadline: Instant,
+    ) -> bool {
+        let limit = Duration::from_millis(self.shared.settings.suspect_after_ms);
+        let fencing = self.fence(target, class, attempt, deadline);
+        tokio::time::timeout(limit, fencing).await.unwrap_or(false)
+    }
+
     /// Exchanges with a peer what both know about crashes. With `tells_suspects` they tell each other
     /// all suspected requests, otherwise only what is new.
     pub(crate) async fn exchange_crashes(&self, target: InstanceId, tells_suspects: bool) {
--- a/crates/datapath/tests/datapath/main.rs
+++ b/crates/datapath/tests/datapath/main.rs
@@ -15,6 +15,7 @@
 mod late_stop;
 mod lost;
 mod notices;
+mod paused_peers;
 mod peers;
 mod routed;
 mod silent_connections;
