Read on before a connection with unread bytes is closed

A server that answered an upload early and read on lost its answer: the node reset the connection of a caller that reads slowly. On another host the server got a part of the upload only. Refusals of uploads by the node itself were reset as well.

Cause: the request body was dropped when nobody needed it any more, and the connection closed with unread bytes, which the operating system answers with a reset. The gate gave up its connection to a server that answers early.

The listener reads and discards a rest that nobody needs (16 MiB, 3 s), keeps the connection if the rest ends within that, and lingers otherwise. The gate sends the rest to a server that has answered until the deadline, or 2 s without progress, and does not use the connection again.

Handlers get a RequestBody instead of hyper's body; the handler in planned_stop.rs follows, without a change to what it checks.

--- a/crates/datapath/src/entry/caller_handler.rs
+++ b/crates/datapath/src/entry/caller_handler.rs
@@ -10,7 +10,6 @@
 use http::Response;
 use http::StatusCode;
 use hyper::body::Body as _;
-use hyper::body::Incoming;
 use tarragon_model::call::CallContext;
 use tarragon_model::call::Outcome;
 use tarragon_model::call::Reason;
@@ -31,6 +30,7 @@
 use crate::transport::CallFailure;
 use crate::transport::Http1Handler;
 use crate::transport::LogRateLimiter;
+use crate::transport::RequestBody;
 
 /// Retry time that is sent to callers while the node is not ready, in ms.
 const NOT_READY_RETRY_MS: u64 = 500;
@@ -75,7 +75,7 @@
         self.throttle.lock().expect("no thread panics while it holds the lock")
     }
 
-    async fn process(&self, request: Request<Incoming>) -> Result<Response<Body>, CallFailure> {
+    async fn process(&self, request: Request<RequestBody>) -> Result<Response<Body>, CallFailure> {
         let is_keyed = self.interface.has_idempotency_key(request.headers());
         if *self.serving.borrow() == ServingState::NotReady {
             let failure = CallFailure::retry_after(Reason::NotReady, NOT_READY_RETRY_MS);
@@ -122,7 +122,7 @@
     async fn forward(
         &self,
         parts: Parts,
-        body: Incoming,
+        body: RequestBody,
         mut inbound: InboundRequest,
     ) -> Result<Response<Body>, CallFailure> {
         let started = Instant::now();
@@ -223,7 +223,7 @@
 
 #[async_trait]
 impl Http1Handler for CallerHandler {
-    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, request: Request<RequestBody>) -> Response<Body> {
         let started = Instant::now();
         let result = self.process(request).await;
         let metrics = &self.forwarder.dependencies.metrics;
--- a/crates/datapath/src/entry/exit_handler.rs
+++ b/crates/datapath/src/entry/exit_handler.rs
@@ -4,7 +4,6 @@
 use http::HeaderMap;
 use http::Request;
 use http::Response;
-use hyper::body::Incoming;
 use tarragon_model::call::headers;
 use tarragon_model::call::CallContext;
 use tarragon_model::call::Reason;
@@ -21,6 +20,7 @@
 use crate::transport::CallFailure;
 use crate::transport::Http1Handler;
 use crate::transport::RateLimitedWarning;
+use crate::transport::RequestBody;
 
 /// Forwards the calls that the node's backend server makes to other services.
 pub struct ExitHandler {
@@ -46,7 +46,7 @@
 
     async fn process(
         &self,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
         parent: Option<(SpanId, SpanContext)>,
     ) -> Result<Response<Body>, CallFailure> {
         let forwarder = &self.forwarder;
@@ -115,7 +115,7 @@
 
 #[async_trait]
 impl Http1Handler for ExitHandler {
-    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, request: Request<RequestBody>) -> Response<Body> {
         let parent = self.find_parent(request.headers());
         let cancelled = match &parent {
             Some((_, parent)) => parent.cancelled.clone(),
--- a/crates/datapath/src/entry/outgoing_call.rs
+++ b/crates/datapath/src/entry/outgoing_call.rs
@@ -8,7 +8,6 @@
 use http::HeaderValue;
 use http::Request;
 use hyper::body::Body as _;
-use hyper::body::Incoming;
 use tarragon_model::call::CallContext;
 use tarragon_model::call::Reason;
 use tarragon_model::identity::SpanId;
@@ -22,6 +21,7 @@
 use crate::transport::streamed;
 use crate::transport::CallFailure;
 use crate::transport::ReplayBody;
+use crate::transport::RequestBody;
 use crate::transport::PREFIX_TIMEOUT;
 use crate::transport::SUSPECT_PREFIX_TIMEOUT;
 
@@ -60,7 +60,7 @@
     /// # Errors
     /// `Late` if a body to buffer is not complete by the deadline, `BadRequest` if it ends early.
     pub(crate) async fn read(
-        (head, body): (Parts, Incoming),
+        (head, body): (Parts, RequestBody),
         inbound: InboundRequest,
         context: CallContext,
         deadline: Instant,
@@ -137,7 +137,7 @@
 /// Fingerprint of all requests like this one whose first bytes do not arrive in time.
 fn fingerprint_without_body(
     head: &Parts,
-    body: &Incoming,
+    body: &RequestBody,
     inbound: &InboundRequest,
 ) -> RequestFingerprint {
     let [method, host, path, caller] = head_parts(head, inbound);
--- a/crates/datapath/src/gate/backend_pool.rs
+++ b/crates/datapath/src/gate/backend_pool.rs
@@ -22,6 +22,7 @@
 use crate::gate::backend_stream::ResponseByteCounter;
 use crate::gate::silence_detection;
 use crate::gate::silence_detection::BodySize;
+use crate::gate::upload_body::UploadProgress;
 use crate::transport::Body;
 use crate::transport::CallFailure;
 
@@ -32,10 +33,15 @@
     /// Size of the request bodies that the connection is used for.
     body_size: BodySize,
     idle_since: Instant,
+    /// Cancelled when the connection has ended.
+    ended: CancellationToken,
     /// Closes the socket immediately when it is dropped, also in the middle of an upload.
-    _close: DropGuard,
+    close: DropGuard,
 }
 
+/// Time without progress after which a server that has answered gets no more of an upload.
+const UPLOAD_STALL_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Result of sending a request over a pooled connection.
 pub(crate) enum SendOutcome {
     /// The head of the response arrived.
@@ -137,8 +143,8 @@
         let io = BackendStream::new(stream, Arc::clone(&byte_counter));
         let (sender, connection) =
             http1::handshake(io).await.map_err(|_| CallFailure::from(Reason::NoServer))?;
-        let close = CancellationToken::new();
-        let closed = close.clone();
+        let (close, ended) = (CancellationToken::new(), CancellationToken::new());
+        let (closed, end) = (close.clone(), ended.clone());
         self.tracker.spawn(async move {
             tokio::select! {
                 () = closed.cancelled() => {}
@@ -146,6 +152,7 @@
                     debug!("gate: connection to the backend server failed: {e}");
                 }
             }
+            end.cancel();
         });
         let idle_since = Instant::now();
         Ok(PooledConnection {
@@ -154,7 +161,8 @@
             address,
             body_size,
             idle_since,
-            _close: close.drop_guard(),
+            ended,
+            close: close.drop_guard(),
         })
     }
 
@@ -206,6 +214,31 @@
         self.connection.as_ref().map_or(0, |connection| connection.byte_counter.body_bytes())
     }
 
+    /// Sends the rest of a request to a server that has answered already, until the deadline. The
+    /// connection is closed then: it is not known how much of the request the server reads, and what is
+    /// left would be taken for the next one.
+    pub(crate) fn finish_upload(mut self, upload: Arc<UploadProgress>, deadline: Instant) {
+        let Some(connection) = self.connection.take() else { return };
+        let PooledConnection { sender, ended, close, .. } = connection;
+        let tracker = self.pool.tracker.clone();
+        tracker.spawn(async move {
+            // The HTTP client closes the connection after its last request.
+            drop(sender);
+            tokio::select! {
+                () = ended.cancelled() => {}
+                () = upload.wait_until_stalled(UPLOAD_STALL_TIMEOUT) => {
+                    debug!("gate: the backend server does not read the rest of a request");
+                }
+                () = tokio::time::sleep_until(deadline.into()) => {
+                    debug!("gate: the deadline passed before the rest of a request was sent");
+                }
+            }
+            drop(close);
+            // The connection counts among those to the server until now.
+            drop(self);
+        });
+    }
+
     /// Returns the connection to the pool after a complete response.
     pub(crate) fn return_to_pool(mut self) {
         let Some(mut connection) = self.connection.take() else { return };
--- a/crates/datapath/src/gate/mod.rs
+++ b/crates/datapath/src/gate/mod.rs
@@ -21,6 +21,7 @@
 mod server_notices;
 mod silence_detection;
 mod spans;
+mod upload_body;
 
 pub use attempts::AttemptKey;
 pub use gate_call::GateCall;
--- a/crates/datapath/src/gate/request_gate.rs
+++ b/crates/datapath/src/gate/request_gate.rs
@@ -1,5 +1,4 @@
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -46,12 +45,13 @@
 use crate::gate::keys::IdempotencyKeys;
 use crate::gate::response_body::Execution;
 use crate::gate::response_body::ResponseBody;
-use crate::gate::response_body::UploadBody;
 use crate::gate::retry_token_guard::RetryTokenGuard;
 use crate::gate::server_notices::ServerNotices;
 use crate::gate::silence_detection::BodySize;
 use crate::gate::spans::ActiveSpans;
 use crate::gate::spans::SpanGuard;
+use crate::gate::upload_body::UploadBody;
+use crate::gate::upload_body::UploadProgress;
 use crate::gate::AttemptKey;
 use crate::gate::GateCall;
 use crate::gate::GateDependencies;
@@ -296,7 +296,7 @@
         self.check_end_before_stop(&call)?;
         let started_at_ms = self.status.borrow().started_at_ms;
         let request_tag = self.interface.correlation_tag(call.request.headers());
-        let (mut request, is_upload_done) = self.backend_request(call, span.id(), address);
+        let (mut request, upload) = self.backend_request(call, span.id(), address);
         let body_size = BodySize::of(request.body());
         let run = self.crash_detector.start_run(fingerprint, address)?;
         let mut is_started = false;
@@ -326,6 +326,7 @@
                 }
                 SendOutcome::ResponseHead(response) => {
                     slot.record_first_byte();
+                    let is_early = !upload.is_done();
                     let outcome_if_complete = self.run_outcome_for(response.status());
                     let (head, incoming) = response.into_parts();
                     let verdict = self.interface.classify_response(request_tag.as_ref(), &head);
@@ -351,7 +352,8 @@
                         lease,
                         slot,
                         span,
-                        is_upload_done,
+                        upload,
+                        is_early,
                         outcome_if_complete,
                         allows_trailing_bytes: self.interface.allows_trailing_bytes(),
                     };
@@ -375,14 +377,14 @@
         }
     }
 
-    /// Builds the request for the backend server, with the context of its execution. The returned
-    /// flag is set when the request body has been read to its end.
+    /// Builds the request for the backend server, with the context of its execution. Also returns what
+    /// tells how much of the request body has been read.
     fn backend_request(
         &self,
         call: GateCall,
         span: SpanId,
         address: SocketAddr,
-    ) -> (Request<Body>, Arc<AtomicBool>) {
+    ) -> (Request<Body>, Arc<UploadProgress>) {
         let GateCall { service, request, context, deadline, .. } = call;
         let (mut parts, body) = request.into_parts();
         let deadline_ms = crate::datapath::remaining_us(deadline) / 1_000;
@@ -400,8 +402,8 @@
             parts.headers.insert(header::HOST, host.expect("an address is visible ASCII"));
         }
         parts.version = http::Version::HTTP_11;
-        let (upload, is_done) = UploadBody::new(body);
-        (Request::from_parts(parts, upload.boxed_unsync()), is_done)
+        let (upload, progress) = UploadBody::new(body);
+        (Request::from_parts(parts, upload.boxed_unsync()), progress)
     }
 
     /// Whether the response has a status of HTTP, is not an upgrade, its end can be detected and no
--- a/crates/datapath/src/gate/response_body.rs
+++ b/crates/datapath/src/gate/response_body.rs
@@ -1,7 +1,5 @@
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -21,7 +19,7 @@
 use crate::gate::backend_pool::ConnectionLease;
 use crate::gate::crash_detector::CrashDetectorRun;
 use crate::gate::spans::SpanGuard;
-use crate::transport::Body;
+use crate::gate::upload_body::UploadProgress;
 use crate::transport::BoxError;
 
 const DEADLINE_PASSED: &str = "the deadline passed before the response was complete";
@@ -34,8 +32,10 @@
     pub(crate) lease: ConnectionLease,
     pub(crate) slot: ExecutionSlot,
     pub(crate) span: SpanGuard,
-    /// Whether the request body has been read to its end; the connection cannot be reused before.
-    pub(crate) is_upload_done: Arc<AtomicBool>,
+    /// How much of the request body the server has taken.
+    pub(crate) upload: Arc<UploadProgress>,
+    /// Whether the server began to answer before it had taken the whole request.
+    pub(crate) is_early: bool,
     /// Outcome of the run if the response is received completely.
     pub(crate) outcome_if_complete: RunOutcome,
     /// Whether bytes after the announced content length are tolerated.
@@ -44,13 +44,15 @@
 
 impl Execution {
     /// Ends an execution with a complete response. The connection returns to the pool if the
-    /// request was read to its end and no bytes followed the announced content length.
-    fn complete(mut self, content_length_bytes: Option<u64>) {
+    /// request was read to its end and no bytes followed the announced content length. A server that
+    /// answered before still gets the rest of the request, until the deadline.
+    fn complete(mut self, content_length_bytes: Option<u64>, deadline: Instant) {
         self.slot.set_outcome(self.outcome_if_complete);
         self.span.end();
-        if self.is_upload_done.load(Ordering::Acquire)
-            && !self.has_trailing_bytes(content_length_bytes)
-        {
+        let has_trailing_bytes = self.has_trailing_bytes(content_length_bytes);
+        if self.is_early {
+            self.lease.finish_upload(self.upload, deadline);
+        } else if !has_trailing_bytes {
             self.lease.return_to_pool();
         }
         if self.is_answer {
@@ -92,7 +94,7 @@
     pub(crate) fn new(incoming: Incoming, execution: Execution, deadline: Instant) -> Self {
         let content_length_bytes = incoming.size_hint().exact();
         if incoming.is_end_stream() {
-            execution.complete(content_length_bytes);
+            execution.complete(content_length_bytes, deadline);
             let execution = Arc::default();
             return Self::build(incoming, execution, true, content_length_bytes, deadline);
         }
@@ -131,7 +133,7 @@
             let execution = self.lock().take();
             self.is_complete = execution.is_some();
             if let Some(execution) = execution {
-                execution.complete(self.content_length_bytes);
+                execution.complete(self.content_length_bytes, self.deadline);
             }
         }
         self.is_complete
@@ -209,55 +211,3 @@
         self.incoming.size_hint()
     }
 }
-
-/// Request body that sets a flag when it has been read to its end.
-pub(crate) struct UploadBody {
-    body: Body,
-    /// Bytes that are still to be read, if the length is known. The HTTP client stops reading
-    /// there, without polling for the end of the body.
-    remaining_bytes: Option<u64>,
-    is_done: Arc<AtomicBool>,
-}
-
-impl UploadBody {
-    /// Wraps a body. The returned flag is set when the body has been read to its end.
-    pub(crate) fn new(body: Body) -> (Self, Arc<AtomicBool>) {
-        let is_done = Arc::new(AtomicBool::new(body.is_end_stream()));
-        let remaining_bytes = body.size_hint().exact();
-        (Self { body, remaining_bytes, is_done: Arc::clone(&is_done) }, is_done)
-    }
-}
-
-impl HttpBody for UploadBody {
-    type Data = Bytes;
-    type Error = BoxError;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        let this = self.get_mut();
-        let polled = Pin::new(&mut this.body).poll_frame(cx);
-        let is_end = match &polled {
-            Poll::Ready(None) => true,
-            Poll::Ready(Some(Ok(frame))) => {
-                let length = frame.data_ref().map_or(0, |data| data.len() as u64);
-                this.remaining_bytes = this.remaining_bytes.map(|left| left.saturating_sub(length));
-                this.remaining_bytes == Some(0) || this.body.is_end_stream()
-            }
-            _ => false,
-        };
-        if is_end {
-            this.is_done.store(true, Ordering::Release);
-        }
-        polled
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/crates/datapath/src/transport/body.rs
+++ b/crates/datapath/src/transport/body.rs
@@ -3,7 +3,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Empty;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::Body as HttpBody;
 
 /// Error of a body that ended before it was complete.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -22,6 +22,6 @@
 }
 
 /// Creates a body that streams from a connection.
-pub fn streamed(incoming: Incoming) -> Body {
-    incoming.map_err(BoxError::from).boxed_unsync()
+pub fn streamed(body: impl HttpBody<Data = Bytes, Error = hyper::Error> + Send + 'static) -> Body {
+    body.map_err(BoxError::from).boxed_unsync()
 }
--- a/crates/datapath/src/transport/http1_listener.rs
+++ b/crates/datapath/src/transport/http1_listener.rs
@@ -8,6 +8,7 @@
 use async_trait::async_trait;
 use error_stack::Report;
 use http::header::CONNECTION;
+use http::header::EXPECT;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -22,8 +23,11 @@
 use tokio_util::task::task_tracker::TaskTrackerToken;
 use tracing::debug;
 
+use crate::transport::unread_body;
 use crate::transport::Body;
 use crate::transport::BoundListener;
+use crate::transport::RequestBody;
+use crate::transport::UnreadBody;
 use crate::transport::UploadWatch;
 use crate::transport::WriteTimeoutIo;
 
@@ -39,7 +43,7 @@
 #[async_trait]
 pub trait Http1Handler: Send + Sync + 'static {
     /// Handles one request. The future is dropped when the caller closes the connection.
-    async fn handle(&self, request: Request<Incoming>) -> Response<Body>;
+    async fn handle(&self, request: Request<RequestBody>) -> Response<Body>;
 }
 
 /// Limits of an HTTP/1.1 listener.
@@ -93,18 +97,26 @@
         stop: CancellationToken,
     ) {
         let (uploads, connection_to_caller) = (Arc::<UploadWatch>::default(), stream.connection());
+        let unread = Arc::<UnreadBody>::default();
+        let unread_of_requests = Arc::clone(&unread);
         let watched_uploads = Arc::clone(&uploads);
         let has_request = Arc::new(AtomicBool::new(false));
         let (requested, stopped) = (Arc::clone(&has_request), stop.clone());
         let service = service_fn(move |mut request: Request<Incoming>| {
             let (handler, stopped) = (Arc::clone(&handler), stopped.clone());
+            let unread = Arc::clone(&unread_of_requests);
             requested.store(true, Ordering::Relaxed);
             request.extensions_mut().insert(RemoteAddress(remote_address));
             let upload = watched_uploads.start(request.body());
+            let awaits_continue = request.headers().contains_key(EXPECT);
+            let request = request.map(|body| RequestBody::new(body, Arc::clone(&unread)));
+            if awaits_continue {
+                unread.await_continue();
+            }
             async move {
                 let _upload = upload;
                 let mut response = handler.handle(request).await;
-                if stopped.is_cancelled() {
+                if stopped.is_cancelled() || unread.needs_close() {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(response)
@@ -119,34 +131,48 @@
             .max_buf_size(max_header_bytes * 4)
             .serve_connection(stream, service);
         tokio::pin!(connection);
-        let result = tokio::select! {
-            // A request that has arrived already is read before the connection is shut down.
-            biased;
-            result = connection.as_mut() => result,
-            () = uploads.wait_until_caller_left(&connection_to_caller) => {
-                debug!(%remote_address, "entry: the caller of an upload has left");
-                return;
-            }
-            () = stop.cancelled() => {
-                // hyper would close a new connection at once, also if its first request is on its
-                // way.
-                let is_new = !has_request.load(Ordering::Relaxed);
-                let limit = if is_new { FIRST_REQUEST_TIMEOUT } else { Duration::ZERO };
-                match tokio::time::timeout(limit, connection.as_mut()).await {
-                    Ok(result) => result,
-                    Err(_) if has_request.load(Ordering::Relaxed) => {
-                        connection.as_mut().graceful_shutdown();
-                        connection.await
-                    }
-                    Err(_) => {
-                        debug!(%remote_address, "entry: closing a connection without a request");
-                        return;
+        let serving = async {
+            tokio::select! {
+                // A request that has arrived already is read before the connection is shut down.
+                biased;
+                result = connection.as_mut() => Some(result),
+                () = uploads.wait_until_caller_left(&connection_to_caller) => {
+                    debug!(%remote_address, "entry: the caller of an upload has left");
+                    None
+                }
+                () = stop.cancelled() => {
+                    // hyper would close a new connection at once, also if its first request is on its
+                    // way.
+                    let is_new = !has_request.load(Ordering::Relaxed);
+                    let limit = if is_new { FIRST_REQUEST_TIMEOUT } else { Duration::ZERO };
+                    match tokio::time::timeout(limit, connection.as_mut()).await {
+                        Ok(result) => Some(result),
+                        Err(_) if has_request.load(Ordering::Relaxed) => {
+                            connection.as_mut().graceful_shutdown();
+                            Some(connection.as_mut().await)
+                        }
+                        Err(_) => {
+                            debug!(%remote_address, "entry: closing a connection without a request");
+                            None
+                        }
                     }
                 }
             }
         };
-        if let Err(e) = result {
-            debug!("entry: HTTP connection failed: {e}");
+        let served = tokio::select! {
+            served = serving => served,
+            never = unread.discard() => match never {},
+        };
+        match served {
+            None => {}
+            Some(Ok(())) => unread.linger(&connection_to_caller).await,
+            Some(Err(e)) => {
+                debug!("entry: HTTP connection failed: {e}");
+                if e.is_parse() {
+                    // hyper has refused a head that it had not read to its end.
+                    unread_body::linger_after_head(&connection_to_caller).await;
+                }
+            }
         }
     }
 }
--- a/crates/datapath/src/transport/mod.rs
+++ b/crates/datapath/src/transport/mod.rs
@@ -11,6 +11,8 @@
 mod log_rate_limiter;
 mod rate_limited_warning;
 mod replay_body;
+mod request_body;
+mod unread_body;
 mod upload_watch;
 mod write_timeout_io;
 
@@ -35,5 +37,7 @@
 pub use replay_body::ReplayBody;
 pub use replay_body::PREFIX_TIMEOUT;
 pub use replay_body::SUSPECT_PREFIX_TIMEOUT;
+pub use request_body::RequestBody;
+pub(crate) use unread_body::UnreadBody;
 pub(crate) use upload_watch::UploadWatch;
 pub(crate) use write_timeout_io::WriteTimeoutIo;
--- a/crates/datapath/tests/datapath/main.rs
+++ b/crates/datapath/tests/datapath/main.rs
@@ -10,6 +10,8 @@
 mod calls;
 mod cancel;
 mod crashes;
+mod early_answers;
+mod exchanges;
 mod exits;
 mod keys;
 mod late_stop;
--- a/crates/datapath/tests/datapath/support/cluster.rs
+++ b/crates/datapath/tests/datapath/support/cluster.rs
@@ -203,8 +203,13 @@
     }
 
     pub fn new() -> Self {
+        Self::with_note(RELEASE_NOTE)
+    }
+
+    /// Cluster whose catalogue comes from this release note.
+    pub fn with_note(note: &str) -> Self {
         let mut catalogue = Catalogue::default();
-        let note = ReleaseNote::from_json(RELEASE_NOTE).unwrap();
+        let note = ReleaseNote::from_json(note).unwrap();
         assert_eq!(catalogue.submit(&note), SubmitAnswer::Accepted { revision: 1 });
         let loopback = "127.0.0.1:0".parse().unwrap();
         let mut settings = DataPathSettings::new("node", "hall-a", "south", [loopback; 3]);
--- a/crates/datapath/tests/planned_stop.rs
+++ b/crates/datapath/tests/planned_stop.rs
@@ -9,12 +9,12 @@
 use async_trait::async_trait;
 use http::Request;
 use http::Response;
-use hyper::body::Incoming;
 use tarragon_datapath::transport::full;
 use tarragon_datapath::transport::Body;
 use tarragon_datapath::transport::Http1Handler;
 use tarragon_datapath::transport::Http1Limits;
 use tarragon_datapath::transport::Http1Listener;
+use tarragon_datapath::transport::RequestBody;
 use tarragon_kernel::Kernel;
 use tarragon_kernel::Service;
 use tokio::io::AsyncReadExt;
@@ -32,7 +32,7 @@
 
 #[async_trait]
 impl Http1Handler for Refusing {
-    async fn handle(&self, _request: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, _request: Request<RequestBody>) -> Response<Body> {
         let mut response = Response::new(full("draining"));
         *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
         response
--- a/crates/node/src/app/prometheus.rs
+++ b/crates/node/src/app/prometheus.rs
@@ -10,7 +10,6 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
-use hyper::body::Incoming;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -24,6 +23,7 @@
 use tarragon_datapath::transport::Http1Handler;
 use tarragon_datapath::transport::Http1Limits;
 use tarragon_datapath::transport::Http1Listener;
+use tarragon_datapath::transport::RequestBody;
 use tarragon_kernel::Kernel;
 use tarragon_kernel::KernelError;
 use tarragon_kernel::Service;
@@ -109,7 +109,7 @@
 
 #[async_trait]
 impl Http1Handler for MetricsHandler {
-    async fn handle(&self, _request: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, _request: Request<RequestBody>) -> Response<Body> {
         let mut response = Response::new(full(self.0.encode_text()));
         let content_type = HeaderValue::from_static("application/openmetrics-text; version=1.0.0");
         response.headers_mut().insert(CONTENT_TYPE, content_type);
