Pass on idempotency keys that an operation does not use

What callers saw: the Idempotency-Key of a request that may be repeated reached the backend server of their own host and no other.

Cause: nodes tell each other the key of a call in that header, so the caller's was removed where the call has none; the native interface did the same.

The header travels between nodes under a name of its own now.

--- a/crates/datapath/src/peer/peer_pool.rs
+++ b/crates/datapath/src/peer/peer_pool.rs
@@ -41,6 +41,7 @@
 use crate::peer::FENCE_PATH;
 use crate::quarantine::SharedLedger;
 use crate::transport::empty;
+use crate::transport::move_header;
 use crate::transport::Body;
 
 /// Time subtracted from the deadline for the network round trip, in ms, so that the gate's definite
@@ -340,6 +341,10 @@
         let left_ms = crate::datapath::remaining_us(deadline) / 1_000;
         let deadline_ms = left_ms.saturating_sub(HOP_ALLOWANCE_MS);
         let map = &mut parts.headers;
+        if context.key.is_none() {
+            // The gate would take it for the key of the call.
+            move_header(map, &headers::IDEMPOTENCY_KEY, &headers::UNUSED_KEY);
+        }
         CallContext { deadline_ms, ..context }.write_headers(map);
         map.insert(headers::SERVICE, header_value(&service));
         map.insert(headers::TARGET, header_value(&peer.instance.to_string()));
--- a/crates/datapath/src/peer/peer_server.rs
+++ b/crates/datapath/src/peer/peer_server.rs
@@ -46,6 +46,7 @@
 use crate::peer::SEND_BUFFER_BYTES;
 use crate::peer::STREAM_WINDOW_BYTES;
 use crate::transport::empty;
+use crate::transport::move_header;
 use crate::transport::streamed;
 use crate::transport::strip_hop_headers;
 use crate::transport::strip_tarragon_headers;
@@ -274,6 +275,7 @@
         let repeat_share = f64::from(repeat_share) / 1_000.0;
         let known_notice = parse_header(map, headers::NOTICE);
         strip_hop_headers(map);
+        move_header(map, &headers::UNUSED_KEY, &headers::IDEMPOTENCY_KEY);
         strip_tarragon_headers(map);
         let path = parts.uri.path_and_query().cloned();
         parts.uri = path.map_or_else(http::Uri::default, http::Uri::from);
--- a/crates/datapath/src/transport/hop_headers.rs
+++ b/crates/datapath/src/transport/hop_headers.rs
@@ -1,6 +1,7 @@
 use http::header;
 use http::HeaderMap;
 use http::HeaderName;
+use http::HeaderValue;
 use tarragon_model::call::headers;
 
 /// Hop-by-hop headers (RFC 9110, section 7.6.1), and `Expect`, which the listener itself responds
@@ -44,6 +45,15 @@
     }
 }
 
+/// Gives all values of a header another name.
+pub fn move_header(map: &mut HeaderMap, from: &HeaderName, to: &HeaderName) {
+    let values: Vec<HeaderValue> = map.get_all(from).iter().cloned().collect();
+    map.remove(from);
+    for value in values {
+        map.append(to, value);
+    }
+}
+
 /// Size of the headers in HTTP/1.1 wire format, in bytes.
 pub fn header_bytes(map: &HeaderMap) -> usize {
     // Each line has ": " and CRLF in addition to its name and value.
--- a/crates/datapath/src/transport/mod.rs
+++ b/crates/datapath/src/transport/mod.rs
@@ -26,6 +26,7 @@
 pub use executor::TrackedExecutor;
 pub(crate) use guarded_io::GuardedIo;
 pub use hop_headers::header_bytes;
+pub use hop_headers::move_header;
 pub use hop_headers::strip_hop_headers;
 pub use hop_headers::strip_tarragon_headers;
 pub use http1_listener::Http1Handler;
--- a/crates/datapath/tests/datapath/unchanged_requests.rs
+++ b/crates/datapath/tests/datapath/unchanged_requests.rs
@@ -3,6 +3,7 @@
 
 use futures_util::future::join_all;
 
+use crate::calls::start_owner_and_entry;
 use crate::exchanges::play;
 use crate::exchanges::FirstTry;
 use crate::exchanges::Framing;
@@ -11,6 +12,9 @@
 use crate::exchanges::Row;
 use crate::exchanges::METHODS;
 use crate::support::request;
+use crate::support::text_response;
+use crate::support::Cluster;
+use crate::support::FakeBackend;
 
 /// Plays rows side by side, and panics with those that fail.
 async fn play_all(rows: Vec<Row>) {
@@ -71,3 +75,19 @@
     }
     play_all(rows).await;
 }
+
+/// Guards against an `Idempotency-Key` that is dropped on the way to another host, where the operation
+/// has no use for it.
+#[tokio::test]
+async fn an_unused_idempotency_key_is_passed_on() {
+    let backend = FakeBackend::start(|_| async { text_response("seen") }).await;
+    let cluster = Cluster::new();
+    let (owner, entry) = start_owner_and_entry(&cluster, backend.address).await;
+    for node in [&owner, &entry] {
+        let headers = [("idempotency-key", "not a key: ~")];
+        let reply = request(node.caller, "GET", "/rows", &headers, "").await;
+        assert_eq!(reply.outcome(), "answered");
+        let (_, seen) = backend.requests().pop().unwrap();
+        assert_eq!(seen.get("idempotency-key").map(|v| v.as_bytes()), Some(&b"not a key: ~"[..]));
+    }
+}
--- a/crates/model/src/call/call_context.rs
+++ b/crates/model/src/call/call_context.rs
@@ -63,7 +63,8 @@
         })
     }
 
-    /// Writes the context into headers, replacing the values that are there.
+    /// Writes the context into headers, replacing the values that are there. Without a key, the
+    /// `Idempotency-Key` of a caller stays as it is.
     pub fn write_headers(&self, header_map: &mut HeaderMap) {
         set_header(header_map, headers::REQUEST_ID, &self.request_id);
         match &self.span {
@@ -73,9 +74,8 @@
         set_header(header_map, headers::DEADLINE_MS, &self.deadline_ms);
         set_header(header_map, headers::IMPORTANCE, &self.importance);
         set_header(header_map, headers::DEPTH, &self.depth);
-        match &self.key {
-            Some(key) => set_header(header_map, headers::IDEMPOTENCY_KEY, key),
-            None => drop(header_map.remove(headers::IDEMPOTENCY_KEY)),
+        if let Some(key) = &self.key {
+            set_header(header_map, headers::IDEMPOTENCY_KEY, key);
         }
     }
 }
--- a/crates/model/src/call/headers.rs
+++ b/crates/model/src/call/headers.rs
@@ -19,6 +19,9 @@
 pub const DEPTH: HeaderName = HeaderName::from_static("tarragon-depth");
 /// Idempotency key of a non-idempotent operation.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// `Idempotency-Key` of a request whose operation has no use for it, and which is passed on unchanged;
+/// between nodes only.
+pub const UNUSED_KEY: HeaderName = HeaderName::from_static("tarragon-unused-key");
 /// Instance of the node to which an attempt is addressed; between nodes only.
 pub const TARGET: HeaderName = HeaderName::from_static("tarragon-target");
 /// Number of the attempt; between nodes only.
