Take messages with up to 1,024 header fields

What callers saw: 431 for a request with more than 100 fields, and 502 for an answer with as many.

Cause: the default of the HTTP library.

The client and the server of the tests take more fields as well now.

--- a/crates/datapath/src/gate/backend_pool.rs
+++ b/crates/datapath/src/gate/backend_pool.rs
@@ -25,6 +25,7 @@
 use crate::gate::upload_body::UploadProgress;
 use crate::transport::Body;
 use crate::transport::CallFailure;
+use crate::transport::MAX_HEADER_FIELDS;
 
 struct PooledConnection {
     sender: SendRequest<Body>,
@@ -141,8 +142,10 @@
         }
         let byte_counter = Arc::new(ResponseByteCounter::default());
         let io = BackendStream::new(stream, Arc::clone(&byte_counter));
+        let mut client = http1::Builder::new();
+        let handshake = client.max_headers(MAX_HEADER_FIELDS).handshake(io);
         let (sender, connection) =
-            http1::handshake(io).await.map_err(|_| CallFailure::from(Reason::NoServer))?;
+            handshake.await.map_err(|_| CallFailure::from(Reason::NoServer))?;
         let (close, ended) = (CancellationToken::new(), CancellationToken::new());
         let (closed, end) = (close.clone(), ended.clone());
         self.tracker.spawn(async move {
--- a/crates/datapath/src/transport/http1_listener.rs
+++ b/crates/datapath/src/transport/http1_listener.rs
@@ -30,6 +30,7 @@
 use crate::transport::UnreadBody;
 use crate::transport::UploadWatch;
 use crate::transport::WriteTimeoutIo;
+use crate::transport::MAX_HEADER_FIELDS;
 
 /// Idle time after which a connection without a request is closed. hyper's default of 30 s would
 /// close pooled connections of callers with little traffic.
@@ -129,6 +130,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE_TIMEOUT)
             .max_buf_size(max_header_bytes * 4)
+            .max_headers(MAX_HEADER_FIELDS)
             .serve_connection(stream, service);
         tokio::pin!(connection);
         let serving = async {
--- a/crates/datapath/src/transport/mod.rs
+++ b/crates/datapath/src/transport/mod.rs
@@ -16,6 +16,10 @@
 mod upload_watch;
 mod write_timeout_io;
 
+/// Maximum number of header fields of a message. The limits of the users are in bytes; 100, the default of
+/// the HTTP library, is less than they allow.
+pub(crate) const MAX_HEADER_FIELDS: usize = 1_024;
+
 pub use body::empty;
 pub use body::full;
 pub use body::streamed;
--- a/crates/datapath/tests/datapath/support/client.rs
+++ b/crates/datapath/tests/datapath/support/client.rs
@@ -13,6 +13,9 @@
 use tarragon_datapath::transport::Body;
 use tokio::net::TcpStream;
 
+/// Maximum number of header fields of a message, more than any test sends.
+pub const MAX_HEADER_FIELDS: usize = 1_000;
+
 /// Response that a caller received.
 #[derive(Debug)]
 pub struct Reply {
@@ -46,7 +49,9 @@
     request: Request<Body>,
 ) -> hyper::Result<Response<Incoming>> {
     let stream = TcpStream::connect(address).await.unwrap();
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+    let mut client = http1::Builder::new();
+    let handshake = client.max_headers(MAX_HEADER_FIELDS).handshake(TokioIo::new(stream));
+    let (mut sender, connection) = handshake.await.unwrap();
     tokio::spawn(connection);
     sender.send_request(request).await
 }
--- a/crates/datapath/tests/datapath/support/fake_backend.rs
+++ b/crates/datapath/tests/datapath/support/fake_backend.rs
@@ -19,6 +19,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
+use crate::support::client::MAX_HEADER_FIELDS;
+
 /// Backend server that responds with a closure and records the requests that it receives.
 pub struct FakeBackend {
     pub address: SocketAddr,
@@ -49,7 +51,9 @@
                     let response = respond(request);
                     async move { Ok::<_, Infallible>(response.await) }
                 });
-                tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+                let mut server = http1::Builder::new();
+                server.max_headers(MAX_HEADER_FIELDS);
+                tokio::spawn(server.serve_connection(TokioIo::new(stream), service));
             }
         });
         Self { address, requests, connections }
--- a/crates/datapath/tests/datapath/unchanged_requests.rs
+++ b/crates/datapath/tests/datapath/unchanged_requests.rs
@@ -91,3 +91,24 @@
         assert_eq!(seen.get("idempotency-key").map(|v| v.as_bytes()), Some(&b"not a key: ~"[..]));
     }
 }
+
+/// Guards against refusing a request for the number of its header fields, which no page limits.
+#[tokio::test]
+async fn requests_and_answers_may_have_many_header_fields() {
+    let backend = FakeBackend::start(|request| async move {
+        let mut response = text_response("seen");
+        *response.headers_mut() = request.headers().clone();
+        response.headers_mut().remove("content-length");
+        response
+    })
+    .await;
+    let cluster = Cluster::new();
+    let (owner, entry) = start_owner_and_entry(&cluster, backend.address).await;
+    let names: Vec<String> = (0..500).map(|number| format!("x-field-{number}")).collect();
+    let fields: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "1")).collect();
+    for node in [&owner, &entry] {
+        let reply = request(node.caller, "GET", "/rows", &fields, "").await;
+        assert_eq!((reply.status.as_u16(), reply.outcome()), (200, "answered"));
+        assert!(names.iter().all(|name| reply.header(name) == "1"));
+    }
+}
