Show a break in an answer of a server that speaks HTTP/1.0

Cause: through the node of the server the answer kept its version, so the listener sent it without chunks and ended it with the connection.

Evidence: an_answer_of_http_1_0_that_breaks_off_does_not_look_whole fails on: "a broken answer looks whole". The node answers with its own version.

--- a/crates/datapath/src/gate/request_gate.rs
+++ b/crates/datapath/src/gate/request_gate.rs
@@ -447,5 +447,8 @@
     let (mut parts, incoming) = response.into_parts();
     strip_hop_headers(&mut parts.headers);
     strip_tarragon_headers(&mut parts.headers);
+    // With the version of a server that speaks HTTP/1.0, a body without a length would be ended by the end
+    // of the connection, and one that breaks off would look whole to the caller.
+    parts.version = http::Version::HTTP_11;
     Response::from_parts(parts, ResponseBody::new(incoming, execution, deadline))
 }
--- a/crates/datapath/tests/datapath/unchanged_requests.rs
+++ b/crates/datapath/tests/datapath/unchanged_requests.rs
@@ -1,7 +1,13 @@
 //! Requests and answers that are passed on as they are: whether there is a body, its trailer fields, and
 //! the header fields.
 
+use std::sync::Arc;
+use std::sync::Mutex;
+
 use futures_util::future::join_all;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
 use crate::calls::start_owner_and_entry;
 use crate::exchanges::play;
@@ -11,6 +17,9 @@
 use crate::exchanges::Path;
 use crate::exchanges::Row;
 use crate::exchanges::METHODS;
+use crate::routed::configured_cluster;
+use crate::routed::send;
+use crate::routed::wait_until_routed;
 use crate::support::request;
 use crate::support::text_response;
 use crate::support::Cluster;
@@ -112,3 +121,42 @@
         assert!(names.iter().all(|name| reply.header(name) == "1"));
     }
 }
+
+/// Guards against an answer that is passed on with the version HTTP/1.0 and without a length, so that a
+/// break within it looks like its end.
+#[tokio::test]
+async fn an_answer_of_http_1_0_that_breaks_off_does_not_look_whole() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let is_broken_off: Arc<Mutex<bool>> = Arc::default();
+    let breaks_off = Arc::clone(&is_broken_off);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut received = Vec::new();
+            while !received.ends_with(b"12 kg") {
+                if stream.read_buf(&mut received).await.unwrap_or(0) == 0 {
+                    break;
+                }
+            }
+            let _ = stream.write_all(b"HTTP/1.0 200 OK\r\nx-id: 7\r\n\r\nweighed").await;
+            if *breaks_off.lock().unwrap() {
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                stream.set_zero_linger().unwrap();
+            }
+        }
+    });
+    let cluster = configured_cluster();
+    let owner = cluster.start_node("owner", Some(address)).await;
+    let entry = cluster.start_node("entry", None).await;
+    for node in [&owner, &entry] {
+        wait_until_routed(node).await;
+        *is_broken_off.lock().unwrap() = false;
+        let reply = send(node, "/once/7").await;
+        assert_eq!(reply.body.as_deref(), Ok(&b"weighed"[..]));
+        *is_broken_off.lock().unwrap() = true;
+        let reply = send(node, "/once/7").await;
+        assert_eq!(reply.status.as_u16(), 200);
+        assert!(reply.body.is_err(), "a broken answer looks whole: {:?}", reply.body);
+        *is_broken_off.lock().unwrap() = false;
+    }
+}
