Play a matrix of exchanges

Compares, byte for byte, what a client sends with what the backend server gets, and what the server answers with what the client gets, while one of them is slow, early or stands still. A failed row is shortened to the values that matter.

--- a/crates/datapath/tests/datapath/exchanges/mod.rs
+++ b/crates/datapath/tests/datapath/exchanges/mod.rs
@@ -6,8 +6,10 @@
 
 mod client;
 mod host;
+mod matrix;
 mod play;
 mod row;
+mod rows;
 mod sent_request;
 mod server;
 mod verdict;
