Let a server read the upload of a caller that has its answer

What callers saw: nothing; a server that had answered early got a part of an upload whose caller had sent all of it, had its answer and closed its side.

Cause: the watch for callers that leave during an upload checked whether it was still needed before it waited for the connection, not after. The answer had begun by then, and the close of the caller ended the connection with the unread bytes in it.

--- a/crates/datapath/src/transport/upload_watch.rs
+++ b/crates/datapath/src/transport/upload_watch.rs
@@ -43,7 +43,13 @@
         loop {
             self.started.notified().await;
             while self.is_active.load(Ordering::Relaxed) {
-                match connection.ready(Interest::READABLE).await {
+                let ready = connection.ready(Interest::READABLE).await;
+                if !self.is_active.load(Ordering::Relaxed) {
+                    // The answer has begun meanwhile. A caller that closes its side now has sent all of its
+                    // upload, and the server may still read it.
+                    break;
+                }
+                match ready {
                     Ok(ready) if ready.is_read_closed() => return,
                     Ok(_) => tokio::time::sleep(CHECK_INTERVAL).await,
                     Err(e) => {
--- a/crates/datapath/tests/datapath/early_answers.rs
+++ b/crates/datapath/tests/datapath/early_answers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_util::future::join_all;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpListener;
@@ -14,7 +15,9 @@
 use crate::exchanges::play;
 use crate::exchanges::AnswerAfter;
 use crate::exchanges::Client;
+use crate::exchanges::Framing;
 use crate::exchanges::Head;
+use crate::exchanges::Pace;
 use crate::exchanges::Part;
 use crate::exchanges::Path;
 use crate::exchanges::Reader;
@@ -77,6 +80,23 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+/// Guards against a server that gets a part of an upload only, because the caller closes its connection
+/// after it has sent all of it and has its answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_server_gets_the_rest_of_an_upload_whose_caller_has_its_answer() {
+    let mut rows = Vec::new();
+    for path in [Path::Local, Path::OneHop] {
+        for answer_after in [AnswerAfter::Head, AnswerAfter::FourKilobytes] {
+            let (framing, pace) = (Framing::Chunks, Pace::PauseWithin);
+            let row = Row { path, answer_after, framing, pace, ..Row::plain() };
+            rows.extend([row; 6]);
+        }
+    }
+    let played = join_all(rows.into_iter().map(play)).await;
+    let failures: Vec<String> = played.into_iter().filter_map(Result::err).collect();
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
 /// Starts a node whose gate refuses requests, and one that is asked through it.
 async fn start_refusing_nodes() -> (Cluster, Node, Node) {
     let backend = FakeBackend::start(|_| async { text_response("seen") }).await;
