End a body with trailers behind an early answer

What servers saw: a server that answered an upload early and read on got all of its bytes and its trailers, but no end, when the answer was whole before the trailers came.

Cause: after a whole answer on a connection that is to be kept, hyper's HTTP/1.1 server passes the trailers on but keeps the sender of the body, so that the body ends with an error when the connection does. Seen in the state of its dispatcher; the same exchange without trailers, or with an answer that says `Connection: close`, ends well.

Change: the answer to a request in chunks that has not ended says `Connection: close`. Trailers need not be announced, so every body in chunks counts. A caller loses its connection after an early answer to such an upload, and nothing else.

The test `a_server_that_answers_early_gets_the_trailers` failed before with "the server read on and got 24000 of 24000 bytes, Broken".

--- a/crates/datapath/src/transport/unread_body.rs
+++ b/crates/datapath/src/transport/unread_body.rs
@@ -34,6 +34,8 @@
     awaits_continue: bool,
     /// Bytes that are left of the body at least.
     left_bytes: u64,
+    /// Whether trailers may end the body, as it is in chunks.
+    may_have_trailers: bool,
     /// End of the time in which the rest is discarded, once nobody else reads it.
     discard_until: Option<Instant>,
 }
@@ -62,6 +64,7 @@
             is_ended: body.is_end_stream(),
             awaits_continue: false,
             left_bytes: body.size_hint().lower(),
+            may_have_trailers: body.size_hint().exact().is_none(),
             discard_until: None,
         };
     }
@@ -108,12 +111,15 @@
         }
     }
 
-    /// Whether the connection has to be closed after the response, as the rest of the request will not be
-    /// read to its end.
+    /// Whether the connection has to be closed after a response that begins now, as the rest of the request
+    /// will not be read to its end, or as it may end with trailers: after a whole response on a connection
+    /// that is kept, hyper passes the trailers on, but not that the body has ended.
     pub(super) fn needs_close(&self) -> bool {
         let progress = self.progress();
         !progress.is_ended
-            && (progress.awaits_continue || progress.left_bytes > MAX_DISCARDED_BYTES)
+            && (progress.awaits_continue
+                || progress.may_have_trailers
+                || progress.left_bytes > MAX_DISCARDED_BYTES)
     }
 
     /// Reads and discards the rest of each request that nobody else reads.
--- a/crates/datapath/tests/datapath/early_answers.rs
+++ b/crates/datapath/tests/datapath/early_answers.rs
@@ -97,6 +97,21 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+/// Guards against trailers of an upload that reach the server without the end of the body, because the
+/// answer was whole before they came.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_server_that_answers_early_gets_the_trailers() {
+    let mut rows = Vec::new();
+    for path in [Path::Local, Path::OneHop] {
+        let (framing, pace) = (Framing::ChunksWithTrailer, Pace::PauseWithin);
+        let answer_after = AnswerAfter::Head;
+        rows.extend([Row { path, framing, pace, answer_after, ..Row::plain() }; 3]);
+    }
+    let played = join_all(rows.into_iter().map(play)).await;
+    let failures: Vec<String> = played.into_iter().filter_map(Result::err).collect();
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
 /// Starts a node whose gate refuses requests, and one that is asked through it.
 async fn start_refusing_nodes() -> (Cluster, Node, Node) {
     let backend = FakeBackend::start(|_| async { text_response("seen") }).await;
