Await the rest of an upload whose caller stands still

What servers saw: a server that had answered early got no more of the upload when the caller, or the node on its way, stood still for 2 s.

Cause: the gate gives up a server that takes nothing of the rest for 2 s, and took a caller that sends nothing for a server that takes nothing.

Change: the time runs only while there is something to take.

The test `a_server_gets_the_rest_of_an_upload_that_pauses_after_the_answer` failed before.

--- a/crates/datapath/src/gate/upload_body.rs
+++ b/crates/datapath/src/gate/upload_body.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct UploadProgress {
     is_done: AtomicBool,
+    /// Whether the caller has sent nothing that the backend server has not taken.
+    is_waiting_for_caller: AtomicBool,
     frame_count: AtomicU64,
 }
 
@@ -28,12 +30,14 @@
         self.is_done.load(Ordering::Acquire)
     }
 
-    /// Returns when nothing more of the body has been taken for this time.
+    /// Returns when the backend server has taken nothing more of the body for this time, although there
+    /// is more of it.
     pub(crate) async fn wait_until_stalled(&self, limit: Duration) {
         loop {
             let before = self.frame_count.load(Ordering::Relaxed);
             tokio::time::sleep(limit).await;
-            if self.frame_count.load(Ordering::Relaxed) == before {
+            let is_waiting = self.is_waiting_for_caller.load(Ordering::Relaxed);
+            if !is_waiting && self.frame_count.load(Ordering::Relaxed) == before {
                 return;
             }
         }
@@ -69,6 +73,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
         let this = self.get_mut();
         let polled = Pin::new(&mut this.body).poll_frame(cx);
+        this.progress.is_waiting_for_caller.store(polled.is_pending(), Ordering::Relaxed);
         let is_end = match &polled {
             Poll::Ready(None) => true,
             Poll::Ready(Some(Ok(frame))) => {
--- a/crates/datapath/tests/datapath/early_answers.rs
+++ b/crates/datapath/tests/datapath/early_answers.rs
@@ -14,9 +14,11 @@
 use crate::calls::wait_until_answered;
 use crate::exchanges::play;
 use crate::exchanges::AnswerAfter;
+use crate::exchanges::At;
 use crate::exchanges::Client;
 use crate::exchanges::Framing;
 use crate::exchanges::Head;
+use crate::exchanges::Meanwhile;
 use crate::exchanges::Pace;
 use crate::exchanges::Part;
 use crate::exchanges::Path;
@@ -97,6 +99,23 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+/// Guards against an upload that is given up after its answer, because the caller or a node on its way
+/// stands still for a while.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_server_gets_the_rest_of_an_upload_that_pauses_after_the_answer() {
+    let mut rows = Vec::new();
+    for path in [Path::Local, Path::OneHop] {
+        let meanwhile = Meanwhile::Pause(At::Entry, Duration::from_millis(3_500));
+        let (framing, pace) = (Framing::Chunks, Pace::PauseWithin);
+        let answer_after = AnswerAfter::Head;
+        let row = Row { path, framing, pace, answer_after, meanwhile, ..Row::plain() };
+        rows.extend([row; 3]);
+    }
+    let played = join_all(rows.into_iter().map(play)).await;
+    let failures: Vec<String> = played.into_iter().filter_map(Result::err).collect();
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
 /// Guards against trailers of an upload that reach the server without the end of the body, because the
 /// answer was whole before they came.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/datapath/tests/datapath/exchanges/mod.rs
+++ b/crates/datapath/tests/datapath/exchanges/mod.rs
@@ -17,9 +17,11 @@
 
 pub use crate::exchanges::play::play;
 pub use crate::exchanges::row::AnswerAfter;
+pub use crate::exchanges::row::At;
 pub use crate::exchanges::row::Client;
 pub use crate::exchanges::row::FirstTry;
 pub use crate::exchanges::row::Framing;
+pub use crate::exchanges::row::Meanwhile;
 pub use crate::exchanges::row::Pace;
 pub use crate::exchanges::row::Path;
 pub use crate::exchanges::row::Row;
