Give peers time to read the last answers of a stopping node

What callers saw: an answer that had been sent to a peer was lost if the node stopped and the peer, paused or busy, did not read it within 1 s: 502 with `connection-lost`, or an answer that was cut.

Cause: a stopping node drops the connections that its peers have not closed 1 s after its last run. The next frame of the peer then resets the connection, and the operating system drops what the peer has not read.

Change: a peer has 3 s from the end of the last stream of its connection. One without a stream in that time, as a frozen peer has none, still has 1 s from the last run.

The test `the_last_answers_of_a_stopping_node_reach_a_paused_peer` failed before.

--- a/crates/datapath/src/peer/mod.rs
+++ b/crates/datapath/src/peer/mod.rs
@@ -10,6 +10,7 @@
 mod peer_pool;
 mod peer_server;
 mod pending_response;
+mod stream_executor;
 
 pub use auth::PeerAuth;
 pub use peer_pool::PeerCallError;
--- a/crates/datapath/src/peer/peer_server.rs
+++ b/crates/datapath/src/peer/peer_server.rs
@@ -38,6 +38,7 @@
 use crate::gate::GateCall;
 use crate::gate::GateResponse;
 use crate::peer::peer_connection::header_value;
+use crate::peer::stream_executor::StreamExecutor;
 use crate::peer::PeerAuth;
 use crate::peer::CONNECTION_WINDOW_BYTES;
 use crate::peer::FENCE_PATH;
@@ -54,13 +55,16 @@
 use crate::transport::BoundListener;
 use crate::transport::CallFailure;
 use crate::transport::RateLimitedWarning;
-use crate::transport::TrackedExecutor;
 
 /// Time that a stopping node gives a peer to close its connection after the last request has ended.
 /// A frozen peer never closes it, and the node must not wait for it. The time allows several round
 /// trips to another region.
 const PEER_CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time that a stopping node gives a peer to read the last response on its connection. A peer that stands
+/// still for less than this time loses nothing.
+const PEER_READ_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Serves calls, heartbeats and fences from other nodes.
 pub struct PeerServer {
     listener: BoundListener,
@@ -103,7 +107,8 @@
             let server = Arc::clone(&server);
             async move { Ok::<_, Infallible>(server.handle(request).await) }
         });
-        let connection = http2::Builder::new(TrackedExecutor(tracker))
+        let streams = StreamExecutor::new(tracker);
+        let connection = http2::Builder::new(streams.clone())
             .timer(TokioTimer::new())
             .initial_stream_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
@@ -120,13 +125,9 @@
             result = connection.as_mut() => result,
             () = stop.cancelled() => {
                 connection.as_mut().graceful_shutdown();
-                let overdue = async {
-                    self.gate.spans.wait_until_empty().await;
-                    tokio::time::sleep(PEER_CLOSE_TIMEOUT).await;
-                };
                 tokio::select! {
                     result = connection => result,
-                    () = overdue => {
+                    () = self.wait_until_overdue(&streams) => {
                         info!(%from, "gate: dropping a connection that the peer does not close");
                         return;
                     }
@@ -138,6 +139,20 @@
         }
     }
 
+    /// Waits until the peer has had enough time to read the last response and to close its connection.
+    async fn wait_until_overdue(&self, streams: &StreamExecutor) {
+        self.gate.spans.wait_until_empty().await;
+        let close_until = tokio::time::Instant::now() + PEER_CLOSE_TIMEOUT;
+        loop {
+            let read_until = streams.last_ended().map(|ended| ended + PEER_READ_TIMEOUT);
+            let until = read_until.map_or(close_until, |read_until| read_until.max(close_until));
+            if until <= tokio::time::Instant::now() {
+                return;
+            }
+            tokio::time::sleep_until(until).await;
+        }
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
         if !self.auth.is_valid(request.method(), path, request.headers()) {
--- a/crates/datapath/tests/datapath/paused_peers.rs
+++ b/crates/datapath/tests/datapath/paused_peers.rs
@@ -35,6 +35,12 @@
 const PIECES: usize = 10;
 const PIECE_BYTES: usize = 30_000;
 
+/// Pause of a peer while the node whose answer it is about to read stops.
+const STOP_PAUSE: Duration = Duration::from_millis(1_600);
+
+/// Size of the last answer of a node that stops, less than the receive window of a stream.
+const STOP_ANSWER_BYTES: usize = 200_000;
+
 /// Time after a deadline within which a caller hears that it has passed, also on a busy machine.
 const DEADLINE_BOUND: Duration = Duration::from_secs(5);
 
@@ -215,3 +221,37 @@
         assert_eq!(reply.body.map(|body| body.len()), Ok(PIECES * PIECE_BYTES));
     }
 }
+
+/// Guards against answers that are lost on their way to a peer that stands still, because the node which
+/// sends them stops and drops the connection.
+#[tokio::test]
+async fn the_last_answers_of_a_stopping_node_reach_a_paused_peer() {
+    let (started, go_on) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
+    let (notify_start, answer) = (Arc::clone(&started), Arc::clone(&go_on));
+    let backend = FakeBackend::start(move |request| {
+        let (notify_start, answer) = (Arc::clone(&notify_start), Arc::clone(&answer));
+        async move {
+            if request.method() != "POST" {
+                return text_response("seen");
+            }
+            notify_start.notify_one();
+            answer.notified().await;
+            text_response("a".repeat(STOP_ANSWER_BYTES))
+        }
+    })
+    .await;
+    let (_cluster, owner, relay, entry) = start_nodes(&backend).await;
+    let running = request(entry.caller, "POST", "/weigh", &[], "12 kg");
+    let stopping = async {
+        started.notified().await;
+        relay.set_paused(true);
+        go_on.notify_one();
+        owner.gate.wait_until_idle().await;
+        owner.stop.cancel();
+        tokio::time::sleep(STOP_PAUSE).await;
+        relay.set_paused(false);
+    };
+    let (reply, ()) = tokio::join!(running, stopping);
+    assert_eq!((reply.outcome(), reply.reason()), ("answered", ""));
+    assert_eq!(reply.body.map(|body| body.len()), Ok(STOP_ANSWER_BYTES));
+}
