Read large notes before they are refused

What operators saw: a release note that was sent with a wrong key, or while too many others arrived, ended with "connection reset" in the place of the refusal.

Cause: the refusal came before the body had been read, and the server of the control API closes such a connection with unread bytes, which resets it.

Bodies over the limit were read to their end already, as the test shows.

The test `refusals_of_large_control_requests_arrive` failed before with a broken pipe.

--- a/crates/control/src/control/api/large_bodies.rs
+++ b/crates/control/src/control/api/large_bodies.rs
@@ -1,13 +1,17 @@
 use std::pin::pin;
+use std::pin::Pin;
 use std::time::Duration;
 
+use bytes::Bytes;
 use bytes::BytesMut;
 use dropshot::ClientErrorStatusCode;
 use dropshot::HttpError;
 use dropshot::StreamingBody;
+use futures_util::Stream;
 use futures_util::TryStreamExt;
 use tokio::sync::Semaphore;
 use tokio::sync::SemaphorePermit;
+use tracing::debug;
 
 /// Maximum size of a large request body, in bytes; a release note with every service of a large
 /// deployment fits.
@@ -26,6 +30,9 @@
 /// Time limit for reading a body, so that an unfinished one does not block others.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time limit for the rest of a body that nobody needs.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Reads the request bodies of the endpoints whose requests may be large.
 pub struct LargeBodies {
     permits: Semaphore,
@@ -59,7 +66,13 @@
             bytes.extend_from_slice(&chunk);
             drop(chunk);
             if bytes.len() > MAX_SMALL_BODY_BYTES && permit.is_none() {
-                permit = Some(self.acquire().await?);
+                permit = match self.acquire().await {
+                    Ok(permit) => Some(permit),
+                    Err(e) => {
+                        discard_chunks(chunks).await;
+                        return Err(e);
+                    }
+                };
                 // A buffer that grows would take up to three times as much while it is copied.
                 bytes.reserve(MAX_LARGE_BODY_BYTES.saturating_sub(bytes.len()));
             }
@@ -67,6 +80,12 @@
         Ok(bytes.into())
     }
 
+    /// Reads and discards the body of a request that is refused. The operating system would reset a
+    /// connection that is closed with unread bytes, and drop the refusal.
+    pub async fn discard(body: StreamingBody) {
+        discard_chunks(pin!(body.into_stream())).await;
+    }
+
     async fn acquire(&self) -> Result<SemaphorePermit<'_>, HttpError> {
         match tokio::time::timeout(PERMIT_TIMEOUT, self.permits.acquire()).await {
             Ok(Ok(permit)) => Ok(permit),
@@ -79,3 +98,14 @@
         }
     }
 }
+
+/// Reads chunks until the body ends, is too long or breaks off, or the time is over.
+async fn discard_chunks<S>(mut chunks: Pin<&mut S>)
+where
+    S: Stream<Item = Result<Bytes, HttpError>>,
+{
+    let reading = async { while let Ok(Some(_)) = chunks.try_next().await {} };
+    if tokio::time::timeout(DISCARD_TIMEOUT, reading).await.is_err() {
+        debug!("control API: the rest of a refused request arrives too slowly");
+    }
+}
--- a/crates/control/src/control/api/notes.rs
+++ b/crates/control/src/control/api/notes.rs
@@ -17,6 +17,7 @@
 use tracing::info;
 
 use crate::control::api::api_context::require_operator;
+use crate::control::api::large_bodies::LargeBodies;
 use crate::control::api::large_bodies::MAX_LARGE_BODY_BYTES;
 use crate::control::api::ApiContext;
 use crate::control::ControlCommand;
@@ -40,7 +41,10 @@
     request: RequestContext<Arc<ApiContext>>,
     body: StreamingBody,
 ) -> Result<HttpResponseOk<SubmitAnswer>, HttpError> {
-    require_operator(&request)?;
+    if let Err(refusal) = require_operator(&request) {
+        LargeBodies::discard(body).await;
+        return Err(refusal);
+    }
     let body = request.context().large_bodies.read(body).await?;
     let text = std::str::from_utf8(&body)
         .map_err(|e| HttpError::for_bad_request(None, format!("the note is not UTF-8: {e}")))?;
--- a/crates/tarragond/tests/processes/main.rs
+++ b/crates/tarragond/tests/processes/main.rs
@@ -4,6 +4,7 @@
 // The lint permits unwrapping only in test functions, and not in their helpers.
 #![allow(clippy::unwrap_used, reason = "helpers of tests may panic like the tests themselves")]
 
+mod control_refusals;
 mod endless_bytes;
 mod endless_peer;
 mod idempotency_keys;
