Make the buffer for discarded bytes when it is needed

Cause: the buffer of 16 KB into which the rest of a request is discarded was a local array, so it was part of the task of every connection, also of those that never need it.

Change: it is allocated when a rest is discarded.

The bound of the test is the share of the target of 128 MB that 512 of the 4,096 connections which a node accepts may take; it failed before.

--- a/crates/datapath/src/transport/unread_body.rs
+++ b/crates/datapath/src/transport/unread_body.rs
@@ -172,7 +172,8 @@
     let stream = connection.as_ref();
     let reading = async {
         let mut left_bytes = max_bytes;
-        let mut buffer = [0; DISCARD_BUFFER_BYTES];
+        // On the heap, as an array would enlarge the task of every connection.
+        let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
         loop {
             stream.readable().await?;
             match stream.try_read(&mut buffer) {
--- a/crates/tarragond/tests/processes/main.rs
+++ b/crates/tarragond/tests/processes/main.rs
@@ -8,6 +8,7 @@
 mod endless_bytes;
 mod endless_peer;
 mod idempotency_keys;
+mod idle_connections;
 mod leader_loss;
 mod lost_disk;
 mod partition;
