--- a/crates/datapath/tests/datapath/paused_peers.rs
+++ b/crates/datapath/tests/datapath/paused_peers.rs
@@ -56,6 +56,29 @@
     StreamBody::new(pieces).map_err(BoxError::from).boxed_unsync()
 }
 
+/// Starts a backend server that runs each POST request for a while and answers it in pieces. Also returns
+/// what it notifies when it begins to run one.
+async fn start_running_backend(
+    run_time: Duration,
+    piece_pause: Duration,
+) -> (FakeBackend, Arc<Notify>) {
+    let started = Arc::new(Notify::new());
+    let notify_start = Arc::clone(&started);
+    let backend = FakeBackend::start(move |request| {
+        let notify_start = Arc::clone(&notify_start);
+        async move {
+            if request.method() != "POST" {
+                return text_response("seen");
+            }
+            notify_start.notify_one();
+            tokio::time::sleep(run_time).await;
+            http::Response::new(body_in_pieces(piece_pause))
+        }
+    })
+    .await;
+    (backend, started)
+}
+
 async fn start_nodes(backend: &FakeBackend) -> (Cluster, Node, Relay, Node) {
     let cluster = cluster_with_short_heartbeats();
     let (owner, relay) = node_behind_relay(&cluster, backend).await;
@@ -69,20 +92,7 @@
 /// timeout afterwards.
 #[tokio::test]
 async fn answers_of_a_peer_that_was_paused_twice_are_whole() {
-    let started = Arc::new(Notify::new());
-    let notify_start = Arc::clone(&started);
-    let backend = FakeBackend::start(move |request| {
-        let notify_start = Arc::clone(&notify_start);
-        async move {
-            if request.method() != "POST" {
-                return text_response("seen");
-            }
-            notify_start.notify_one();
-            tokio::time::sleep(PAUSE * 3).await;
-            http::Response::new(body_in_pieces(Duration::from_millis(20)))
-        }
-    })
-    .await;
+    let (backend, started) = start_running_backend(PAUSE * 3, Duration::from_millis(20)).await;
     let (_cluster, _owner, relay, entry) = start_nodes(&backend).await;
     let before = backend.count();
     let running = join_all((0..8).map(|_| request(entry.caller, "POST", "/weigh", &[], "12 kg")));
@@ -193,20 +203,7 @@
 /// Guards against answers that are cut off because the peer which sends them takes no new requests.
 #[tokio::test]
 async fn an_answer_under_way_outlasts_the_stop_of_the_peers_listener() {
-    let started = Arc::new(Notify::new());
-    let notify_start = Arc::clone(&started);
-    let backend = FakeBackend::start(move |request| {
-        let notify_start = Arc::clone(&notify_start);
-        async move {
-            if request.method() != "POST" {
-                return text_response("seen");
-            }
-            notify_start.notify_one();
-            tokio::time::sleep(PAUSE).await;
-            http::Response::new(body_in_pieces(Duration::from_millis(50)))
-        }
-    })
-    .await;
+    let (backend, started) = start_running_backend(PAUSE, Duration::from_millis(50)).await;
     let (_cluster, owner, _relay, entry) = start_nodes(&backend).await;
     let running = join_all((0..4).map(|_| request(entry.caller, "POST", "/weigh", &[], "12 kg")));
     let stop = async {
