--- a/crates/datapath/src/transport/request_body.rs
+++ b/crates/datapath/src/transport/request_body.rs
@@ -12,7 +12,7 @@
 use crate::transport::unread_body::UnreadBody;
 
 /// Body of a request on an HTTP/1.1 connection. What is left of it when it is dropped is read and
-/// discarded by the connection, see [`UnreadBody`].
+/// discarded by the connection (see docs/design.md, 3.5.1).
 pub struct RequestBody {
     /// `None` only while the body is dropped.
     incoming: Option<Incoming>,
